--- /dev/null
+++ b/src/bin/mulberryctl/burn.rs
@@ -0,0 +1,53 @@
+//! The report on service-level burn.
+
+use crate::output;
+use mulberryspur::burn::{Alert, ServiceBurn, alert};
+
+const BAR_WIDTH: usize = 20;
+/// Burn rate at which a bar is full.
+const BAR_FULL: f64 = 15.0;
+
+fn bar(rate: f64) -> String {
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "bounded")]
+    #[expect(clippy::cast_precision_loss, reason = "a small number")]
+    let filled = (rate / BAR_FULL * BAR_WIDTH as f64).clamp(0.0, BAR_WIDTH as f64).round() as usize;
+    format!("{}{}", "#".repeat(filled), ".".repeat(BAR_WIDTH - filled))
+}
+
+fn name(alert: Alert) -> &'static str {
+    match alert {
+        Alert::None => "ok",
+        Alert::Ticket => "TICKET",
+        Alert::Page => "PAGE",
+    }
+}
+
+/// Formats the report.
+pub(crate) fn report(services: &[ServiceBurn]) -> String {
+    let mut sections = Vec::new();
+    for s in services {
+        let o = &s.objective;
+        let goals = [
+            (format!("availability {:.3} %", o.availability * 100.0), s.availability()),
+            (format!("{:.1} % within {} ms", o.latency_share * 100.0, o.latency_ms), s.latency()),
+        ];
+        for (goal, rates) in goals {
+            let spent = rates.last().copied().unwrap_or(0.0);
+            let left = (100.0 * (1.0 - spent)).max(0.0);
+            let state = name(alert(&rates));
+            let title =
+                format!("{}: {goal}: {state}, {left:.0} % of 3 days' budget left", s.service);
+            let rows: Vec<Vec<String>> = s
+                .windows
+                .iter()
+                .zip(&rates)
+                .map(|((window, counts), rate)| {
+                    vec![window.clone(), counts.total.to_string(), format!("{rate:.2}"), bar(*rate)]
+                })
+                .collect();
+            let table = output::table(&["WINDOW", "REQUESTS", "BURN", ""], &rows);
+            sections.push(format!("{title}\n{table}"));
+        }
+    }
+    sections.join("\n\n")
+}
--- /dev/null
+++ b/src/bin/mulberryctl/clap_app.rs
@@ -0,0 +1,181 @@
+//! The command line.
+
+use clap::{Arg, ArgAction, Command, crate_version, value_parser};
+use std::{net::SocketAddr, path::PathBuf};
+
+fn files() -> Arg {
+    Arg::new("file")
+        .value_name("FILE")
+        .required(true)
+        .num_args(1..)
+        .value_parser(value_parser!(PathBuf))
+        .help("Files or directories of resources, JSON with comments")
+}
+
+fn id() -> Arg {
+    Arg::new("id").value_name("KIND/NAME").required(true).help("For example Upstream/foldbook-1")
+}
+
+fn wait() -> Arg {
+    Arg::new("wait")
+        .long("wait")
+        .value_name("SECONDS")
+        .num_args(0..=1)
+        .default_missing_value("30")
+        .value_parser(value_parser!(u64))
+        .help("Wait until the change is in force on every live instance")
+}
+
+fn upstream() -> Arg {
+    Arg::new("upstream").value_name("UPSTREAM").required(true)
+}
+
+/// Returns the command line's definition.
+pub(crate) fn build() -> Command {
+    Command::new("mulberryctl")
+        .version(crate_version!())
+        .about("Operates mulberryspur")
+        .subcommand_required(true)
+        .after_help(
+            "Exit codes: 0 done, 1 failed, 2 wrong command line, 3 conflict, 4 not accepted, \
+             5 not found, 6 timed out, 7 faults in the record, 8 differences",
+        )
+        .arg(
+            Arg::new("admin")
+                .long("admin")
+                .value_name("ADDR")
+                .env("MULBERRYCTL_ADMIN")
+                .value_delimiter(',')
+                .value_parser(value_parser!(SocketAddr))
+                .default_value("127.0.0.1:8081")
+                .global(true)
+                .help("Admin addresses of instances"),
+        )
+        .arg(
+            Arg::new("secret")
+                .long("secret")
+                .env("MULBERRYCTL_SECRET")
+                .hide_env_values(true)
+                .default_value("")
+                .hide_default_value(true)
+                .global(true)
+                .help("The secret shared with the instances"),
+        )
+        .arg(
+            Arg::new("output")
+                .short('o')
+                .long("output")
+                .value_parser(["table", "json"])
+                .default_value("table")
+                .global(true)
+                .help("How to print"),
+        )
+        .subcommands(resource_commands())
+        .subcommands(order_commands())
+        .subcommands(report_commands())
+}
+
+fn resource_commands() -> Vec<Command> {
+    vec![
+        Command::new("apply")
+            .about("Create or replace resources: all of them, or none")
+            .arg(files())
+            .arg(wait())
+            .arg(
+                Arg::new("expect")
+                    .long("expect")
+                    .value_name("VERSION")
+                    .value_parser(value_parser!(u64))
+                    .help("Version that every resource must have, 0 for new ones"),
+            ),
+        Command::new("diff").about("Compare files with what is in force").arg(files()),
+        Command::new("get").about("Show one resource").arg(id()),
+        Command::new("list").about("List resources").arg(
+            Arg::new("kind").value_name("KIND").value_parser([
+                "Service",
+                "Route",
+                "Upstream",
+                "Ownership",
+            ]),
+        ),
+        Command::new("watch").about("Print each new revision").arg(
+            Arg::new("count")
+                .long("count")
+                .value_parser(value_parser!(u64))
+                .help("Stop after this many revisions"),
+        ),
+        Command::new("delete").about("Remove a resource").arg(id()).arg(wait()).arg(
+            Arg::new("expect")
+                .long("expect")
+                .value_name("VERSION")
+                .value_parser(value_parser!(u64))
+                .help("Version that it must have"),
+        ),
+    ]
+}
+
+fn order_commands() -> Vec<Command> {
+    let service = || Arg::new("service").value_name("SERVICE").required(true);
+    let key = || Arg::new("key").value_name("KEY").required(true);
+    vec![
+        Command::new("drain")
+            .about("Send an upstream no new work and move its keys away")
+            .arg(upstream())
+            .arg(wait()),
+        Command::new("undrain")
+            .about("Let an upstream take work again")
+            .arg(upstream())
+            .arg(wait()),
+        Command::new("pin")
+            .about("Give a key a slot of its own, and maybe an owner")
+            .arg(service())
+            .arg(key())
+            .arg(Arg::new("to").long("to").value_name("UPSTREAM"))
+            .arg(wait()),
+        Command::new("unpin")
+            .about("Put a key back among the hashed slots")
+            .arg(service())
+            .arg(key())
+            .arg(wait()),
+    ]
+}
+
+fn report_commands() -> Vec<Command> {
+    vec![
+        Command::new("status").about("Show instances, cells and controllers"),
+        Command::new("burn").about("Report on service-level burn over all admin addresses"),
+        Command::new("record")
+            .about("Read and check the record")
+            .subcommand_required(true)
+            .subcommand(
+                Command::new("verify").about("Find removed, changed or reordered lines").arg(
+                    Arg::new("dir")
+                        .long("dir")
+                        .value_parser(value_parser!(PathBuf))
+                        .help("Read a copy of the record from this directory instead"),
+                ),
+            )
+            .subcommand(
+                Command::new("show")
+                    .about("Print the record in order of time")
+                    .arg(Arg::new("event").long("event").help("Only this kind of event"))
+                    .arg(
+                        Arg::new("dir")
+                            .long("dir")
+                            .value_parser(value_parser!(PathBuf))
+                            .help("Read a copy of the record from this directory instead"),
+                    ),
+            )
+            .subcommand(
+                Command::new("save").about("Copy the record to a directory").arg(
+                    Arg::new("dir")
+                        .required(true)
+                        .value_parser(value_parser!(PathBuf))
+                        .action(ArgAction::Set),
+                ),
+            ),
+        Command::new("completions").about("Print shell completions").arg(
+            Arg::new("shell").required(true).value_parser(value_parser!(clap_complete::Shell)),
+        ),
+    ]
+}
--- /dev/null
+++ b/src/bin/mulberryd/config.rs
@@ -0,0 +1,47 @@
+//! What the process was asked to do, read once from command line and files.
+
+use clap::ArgMatches;
+use eyre::Result;
+use mulberryspur::settings::{LogLevel, Settings};
+use std::path::PathBuf;
+
+/// What the process was asked to do.
+#[derive(Debug)]
+pub(crate) enum Config {
+    /// Serve with these settings.
+    Serve(Box<Settings>),
+    /// Run the development set-up on this port.
+    Dev { port: u16, log: LogLevel },
+    /// Only check the settings, which have been found correct.
+    Check(PathBuf),
+}
+
+impl Config {
+    /// Reads the command line and the settings file.
+    pub(crate) fn new(matches: &ArgMatches) -> Result<Self> {
+        if let Some(("check", sub)) = matches.subcommand() {
+            let file = sub.get_one::<PathBuf>("file").cloned().unwrap_or_default();
+            Settings::read(&file)?;
+            return Ok(Self::Check(file));
+        }
+        let log = matches.get_one::<String>("log").map(|l| level(l));
+        if matches.get_flag("dev") {
+            let port = matches.get_one::<u16>("port").copied().unwrap_or(0);
+            return Ok(Self::Dev { port, log: log.unwrap_or(LogLevel::Warn) });
+        }
+        let file = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
+        let mut settings = Settings::read(&file)?;
+        settings.log = log.unwrap_or(settings.log);
+        Ok(Self::Serve(Box::new(settings)))
+    }
+}
+
+fn level(name: &str) -> LogLevel {
+    match name {
+        "error" => LogLevel::Error,
+        "warn" => LogLevel::Warn,
+        "debug" => LogLevel::Debug,
+        "trace" => LogLevel::Trace,
+        _ => LogLevel::Info,
+    }
+}
--- /dev/null
+++ b/src/body.rs
@@ -0,0 +1,140 @@
+//! Bodies of requests and answers on their way through.
+
+use crate::{
+    clock::Millis,
+    http::{self, Body, BodyError},
+    pool::Lease,
+};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Frame, Incoming, SizeHint};
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+/// Time in milliseconds for a caller to send a short body.
+const READ_LIMIT_MS: Millis = 10_000;
+
+/// A request's body: short ones are kept for another attempt, others streamed once.
+#[derive(Debug)]
+pub(crate) enum RequestBody {
+    Kept(Bytes),
+    Streamed(Option<Body>),
+}
+
+impl RequestBody {
+    /// Reads the body if its declared length is at most `limit` bytes.
+    pub async fn read(body: Incoming, limit: u64) -> crate::Result<Self> {
+        if body.is_end_stream() {
+            return Ok(Self::Kept(Bytes::new()));
+        }
+        let exact = body.size_hint().exact();
+        if exact.is_none_or(|n| n > limit) {
+            return Ok(Self::Streamed(Some(body.map_err(Into::into).boxed_unsync())));
+        }
+        let max = usize::try_from(limit).unwrap_or(usize::MAX);
+        let read = http::read_body("read request body", "caller", body, max);
+        let limit = std::time::Duration::from_millis(READ_LIMIT_MS);
+        let late = |_| crate::Error::invalid("read request body", "took too long");
+        tokio::time::timeout(limit, read).await.map_err(late)?.map(Self::Kept)
+    }
+
+    /// Returns the whole body, if it was kept.
+    pub fn bytes(&self) -> Option<Bytes> {
+        match self {
+            Self::Kept(bytes) => Some(bytes.clone()),
+            Self::Streamed(_) => None,
+        }
+    }
+
+    /// Returns whether the body can be sent (again).
+    pub fn can_repeat(&self) -> bool {
+        !matches!(self, Self::Streamed(None))
+    }
+
+    /// Returns the body for an attempt.
+    pub fn take(&mut self) -> Body {
+        match self {
+            Self::Kept(bytes) => http::full(bytes.clone()),
+            Self::Streamed(body) => body.take().unwrap_or_else(|| http::full("")),
+        }
+    }
+
+    /// Takes back a body of which nothing was sent.
+    pub fn restore(&mut self, body: Body) {
+        if let Self::Streamed(slot) = self {
+            *slot = Some(body);
+        }
+    }
+}
+
+/// An answer's body that holds its connection until the end and then reports how it ended.
+pub(crate) struct Guarded {
+    body: Incoming,
+    lease: Option<Lease>,
+    on_end: Option<Box<dyn FnOnce(u64, bool) + Send>>,
+    bytes: u64,
+}
+
+impl Guarded {
+    /// Wraps a body; `on_end` gets the bytes passed on and whether the body was complete.
+    pub fn new(
+        body: Incoming,
+        lease: Lease,
+        on_end: impl FnOnce(u64, bool) + Send + 'static,
+    ) -> Self {
+        let mut this = Self { body, lease: Some(lease), on_end: Some(Box::new(on_end)), bytes: 0 };
+        if this.body.is_end_stream() {
+            this.end(true);
+        }
+        this
+    }
+
+    fn end(&mut self, complete: bool) {
+        if let Some(lease) = self.lease.take().filter(|_| complete) {
+            lease.reuse();
+        }
+        if let Some(on_end) = self.on_end.take() {
+            on_end(self.bytes, complete);
+        }
+    }
+}
+
+impl hyper::body::Body for Guarded {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let frame = futures::ready!(Pin::new(&mut self.body).poll_frame(cx));
+        match &frame {
+            Some(Ok(f)) => {
+                let len = f.data_ref().map_or(0, |d| d.len() as u64);
+                self.bytes += len;
+                if self.body.is_end_stream() {
+                    self.end(true);
+                }
+            }
+            Some(Err(_)) => self.end(false),
+            None => self.end(true),
+        }
+        Poll::Ready(frame.map(|f| f.map_err(Into::into)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for Guarded {
+    fn drop(&mut self) {
+        self.end(false);
+    }
+}
--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,24 @@
+//! Local clocks, in milliseconds.
+
+/// A reading of, or a span on, a local clock in milliseconds.
+pub type Millis = u64;
+
+/// Reads the clock that leases are counted on.
+///
+/// The boot-time clock runs on while the machine is suspended, so a lease cannot outlive its
+/// limit by a suspend.
+#[must_use]
+pub fn boot_millis() -> Millis {
+    let ts = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let secs = u64::try_from(ts.tv_sec).unwrap_or(0);
+    let nanos = u64::try_from(ts.tv_nsec).unwrap_or(0);
+    secs * 1000 + nanos / 1_000_000
+}
+
+/// Reads the wall clock as milliseconds since the Unix epoch, for records and reports only.
+#[must_use]
+pub fn wall_millis() -> Millis {
+    let now = std::time::SystemTime::now();
+    let since = now.duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/collections.rs
@@ -0,0 +1,10 @@
+//! Hash collections with a fast hasher for in-memory use.
+//!
+//! The hasher is not part of any contract between versions; see [`crate::slot`] for the portable
+//! hash that maps keys to slots.
+
+/// Hash map with a fast, non-portable hasher.
+pub type HashMap<K, V> = rustc_hash::FxHashMap<K, V>;
+
+/// Hash set with a fast, non-portable hasher.
+pub type HashSet<K> = rustc_hash::FxHashSet<K>;
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,131 @@
+//! The daemon: binds, starts the parts, and stops them in order.
+
+use crate::{
+    admin,
+    error::{Error, Result},
+    http::{self, ListenerLimits},
+    instance::{Addresses, Instance},
+    peer_server, proxy,
+    settings::Settings,
+    tasks,
+};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use std::{net::SocketAddr, sync::Arc, sync::OnceLock, time::Duration};
+use tokio_util::sync::CancellationToken;
+
+const UPKEEP: Duration = Duration::from_secs(5);
+/// Time between falling readiness and the listeners closing, for the balancer to notice.
+const READINESS_NOTICE: Duration = Duration::from_millis(500);
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    instance: Arc<Instance>,
+    addresses: Addresses,
+    requests: CancellationToken,
+    listener: tokio::task::JoinHandle<()>,
+}
+
+/// The process has one recorder of metrics, also with several daemons in it.
+fn metrics_handle() -> Result<PrometheusHandle> {
+    static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+    if let Some(handle) = HANDLE.get() {
+        return Ok(handle.clone());
+    }
+    let installed = PrometheusBuilder::new()
+        .set_buckets(&[0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 5.0])
+        .and_then(PrometheusBuilder::install_recorder);
+    let handle = installed.map_err(|e| Error::invalid("start metrics", e.to_string()))?;
+    Ok(HANDLE.get_or_init(|| handle).clone())
+}
+
+impl Daemon {
+    /// Binds the addresses and starts serving.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound.
+    pub async fn start(cfg: Settings) -> Result<Self> {
+        let cfg = Arc::new(cfg);
+        let listen = http::bind("listen for callers", cfg.listen).await?;
+        let admin = http::bind("listen for operators", cfg.admin).await?;
+        let peer = http::bind("listen for instances", cfg.peer).await?;
+        let local = |l: &tokio::net::TcpListener| l.local_addr().unwrap_or(cfg.listen);
+        let addresses =
+            Addresses { listen: local(&listen), admin: local(&admin), peer: local(&peer) };
+        let handle = metrics_handle()?;
+        let stop = CancellationToken::new();
+        let instance = Instance::new(cfg.clone(), addresses, stop.clone());
+        instance.record.note("start", serde_json::json!({ "data_center": &*cfg.data_center }));
+        tasks::start(&instance);
+        tokio::spawn(peer_server::serve(instance.clone(), peer));
+        tokio::spawn(upkeep(handle.clone()));
+
+        let for_admin = instance.clone();
+        let admin_handler = move |req| admin::handle(for_admin.clone(), handle.clone(), req);
+        tokio::spawn(http::serve(admin, ListenerLimits::default(), stop, admin_handler));
+
+        let requests = CancellationToken::new();
+        let limits = ListenerLimits {
+            connections: cfg.limits.connections,
+            header_bytes: cfg.limits.header_bytes,
+            header_read: Duration::from_millis(cfg.limits.header_read_ms),
+            drain: Duration::from_millis(cfg.limits.drain_ms),
+        };
+        let for_callers = instance.clone();
+        let handler = move |req| proxy::handle(for_callers.clone(), req);
+        let listener = tokio::spawn(http::serve(listen, limits, requests.clone(), handler));
+        log::info!(
+            instance = &*cfg.instance, listen = addresses.listen.to_string(),
+            admin = addresses.admin.to_string(), peer = addresses.peer.to_string();
+            "started"
+        );
+        Ok(Self { instance, addresses, requests, listener })
+    }
+
+    /// Returns the address for callers.
+    #[must_use]
+    pub fn listen(&self) -> SocketAddr {
+        self.addresses.listen
+    }
+
+    /// Returns the address for operators.
+    #[must_use]
+    pub fn admin(&self) -> SocketAddr {
+        self.addresses.admin
+    }
+
+    /// Returns the address for other instances.
+    #[must_use]
+    pub fn peer(&self) -> SocketAddr {
+        self.addresses.peer
+    }
+
+    /// Stops in order: readiness falls, cells are handed over, requests in flight end within the
+    /// limit of the settings, the record is stored.
+    pub async fn stop(self) {
+        log::info!("stopping");
+        let instance = self.instance;
+        instance.set_leaving();
+        instance.beat(true);
+        let timing = &instance.cfg.timing;
+        let hand_over = Duration::from_millis(2 * timing.promise_ms + timing.lease_ms);
+        instance.resign_all(hand_over).await;
+        tokio::time::sleep(READINESS_NOTICE).await;
+        self.requests.cancel();
+        let _ = self.listener.await;
+        instance.record.note("stop", serde_json::json!({}));
+        tasks::flush(&instance).await;
+        tasks::unregister(&instance).await;
+        instance.stop.cancel();
+        log::info!("stopped");
+    }
+}
+
+async fn upkeep(handle: PrometheusHandle) {
+    let mut tick = tokio::time::interval(UPKEEP);
+    loop {
+        tick.tick().await;
+        handle.run_upkeep();
+    }
+}
--- /dev/null
+++ b/src/grant.rs
@@ -0,0 +1,304 @@
+//! Grants: what lets a holder serve slots for a limited time, and the holder's side of them.
+//!
+//! A grant's limit is a reading of the holder's own clock, derived from a reading that the holder
+//! sent earlier. A delayed grant therefore carries an old limit and extends nothing.
+
+use crate::{
+    clock::Millis,
+    slot::{Epoch, SlotId, Term},
+};
+use serde::{Deserialize, Serialize};
+use std::{collections::BTreeMap, sync::Arc};
+
+/// Rounding error of a clock reading in milliseconds.
+const CLOCK_GRANULARITY: Millis = 1;
+
+/// Identity of one process of an upstream or instance, new at each start.
+pub type BootId = u64;
+
+/// Timing of the ownership protocol.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Timing {
+    /// Time in milliseconds that a grant allows on the holder's clock.
+    pub lease_ms: Millis,
+    /// Time in milliseconds for which a standby promises not to take over.
+    pub promise_ms: Millis,
+    /// The same while the platform cannot be reached, when nobody could take over.
+    pub outage_promise_ms: Millis,
+    /// Time in milliseconds between renewals.
+    pub renew_ms: Millis,
+    /// Assumed bound on the rate error of any clock, in parts per million.
+    pub drift_ppm: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            lease_ms: 1_400,
+            promise_ms: 800,
+            outage_promise_ms: 30_000,
+            renew_ms: 250,
+            drift_ppm: 500,
+        }
+    }
+}
+
+impl Timing {
+    /// Returns the longest that `span` on another clock can take on this one.
+    #[must_use]
+    pub fn longest(&self, span: Millis) -> Millis {
+        span + self.drift(span) + CLOCK_GRANULARITY
+    }
+
+    /// Returns the shortest that `span` on another clock can take on this one.
+    #[must_use]
+    pub fn shortest(&self, span: Millis) -> Millis {
+        span.saturating_sub(self.drift(span) + CLOCK_GRANULARITY)
+    }
+
+    /// Returns the time after which a holder that does not answer counts as silent.
+    #[must_use]
+    pub fn silent_after(&self) -> Millis {
+        3 * self.renew_ms
+    }
+
+    fn drift(&self, span: Millis) -> Millis {
+        (span * 2 * self.drift_ppm).div_ceil(1_000_000)
+    }
+}
+
+/// One slot in a grant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct SlotGrant {
+    /// The slot.
+    pub slot: SlotId,
+    /// Its epoch.
+    pub epoch: Epoch,
+}
+
+/// A message from a controller to a holder.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Grant {
+    /// Cell of the controller.
+    pub cell: Arc<str>,
+    /// Process that the grant is for, 0 to learn the present one.
+    pub boot: BootId,
+    /// The controller's term.
+    pub term: Term,
+    /// Version of the slot list within the term.
+    pub version: u64,
+    /// Reading of the holder's clock at which the grant ends, 0 to grant no time.
+    pub until: Millis,
+    /// The slots; absent if the holder has this version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slots: Option<Vec<SlotGrant>>,
+}
+
+/// How a holder took a grant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum GrantStatus {
+    /// Taken.
+    Accepted,
+    /// The holder needs the slot list.
+    NeedSlots,
+    /// The grant is for another process.
+    OtherBoot,
+    /// The holder knows a higher term or a later version.
+    Stale,
+}
+
+/// A holder's answer to a grant.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct GrantReply {
+    /// The holder's process.
+    pub boot: BootId,
+    /// Reading of the holder's clock when it answered.
+    pub clock: Millis,
+    /// Highest term that the holder knows.
+    pub term: Term,
+    /// Version of the slot list that it has within that term, 0 if none.
+    pub version: u64,
+    /// How it took the grant.
+    pub status: GrantStatus,
+    /// Slots that it lost but still runs requests for.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub draining: Vec<SlotId>,
+    /// Whether the holder wants to stop and be rid of its slots.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub leaving: bool,
+}
+
+/// Why a holder refuses a request; a refusal is proof that the request did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// The slot is not granted with this epoch.
+    NotOwner,
+    /// The grant has ended.
+    Lapsed,
+}
+
+impl Refusal {
+    /// Returns the name used on the wire.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotOwner => "not-owner",
+            Self::Lapsed => "lapsed",
+        }
+    }
+}
+
+/// A slot that was taken away while requests ran for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct Drain {
+    epoch: Epoch,
+    until: Millis,
+}
+
+/// The holder's side: decides which requests it may run.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct GrantHolder {
+    boot: BootId,
+    term: Term,
+    /// Term and version of `slots`.
+    list: (Term, u64),
+    slots: BTreeMap<SlotId, Epoch>,
+    until: Millis,
+    draining: BTreeMap<SlotId, Drain>,
+    in_flight: BTreeMap<SlotGrant, u32>,
+    leaving: bool,
+}
+
+impl GrantHolder {
+    /// Creates a holder without grants; `boot` must be new at each start.
+    #[must_use]
+    pub fn new(boot: BootId) -> Self {
+        Self {
+            boot,
+            term: 0,
+            list: (0, 0),
+            slots: BTreeMap::new(),
+            until: 0,
+            draining: BTreeMap::new(),
+            in_flight: BTreeMap::new(),
+            leaving: false,
+        }
+    }
+
+    /// Returns the identity of this process.
+    #[must_use]
+    pub fn boot(&self) -> BootId {
+        self.boot
+    }
+
+    /// Says in each answer from now on that the holder wants to stop.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Returns the slots held at `now`.
+    pub fn held(&self, now: Millis) -> impl Iterator<Item = SlotGrant> {
+        let live = now < self.until;
+        self.slots
+            .iter()
+            .filter(move |_| live)
+            .map(|(slot, epoch)| SlotGrant { slot: *slot, epoch: *epoch })
+    }
+
+    /// Returns the reading of the holder's clock at which its grant ends.
+    #[must_use]
+    pub fn until(&self) -> Millis {
+        self.until
+    }
+
+    /// Takes a grant and answers it.
+    pub fn on_grant(&mut self, now: Millis, grant: &Grant) -> GrantReply {
+        let status = self.take(now, grant);
+        self.draining.retain(|_, d| now < d.until);
+        GrantReply {
+            boot: self.boot,
+            clock: now,
+            term: self.term,
+            version: if self.list.0 == self.term { self.list.1 } else { 0 },
+            status,
+            draining: self.draining.keys().copied().collect(),
+            leaving: self.leaving,
+        }
+    }
+
+    fn take(&mut self, now: Millis, grant: &Grant) -> GrantStatus {
+        if grant.term < self.term {
+            return GrantStatus::Stale;
+        }
+        self.term = grant.term;
+        if grant.boot != self.boot {
+            return GrantStatus::OtherBoot;
+        }
+        let offered = (grant.term, grant.version);
+        if offered < self.list {
+            return GrantStatus::Stale;
+        }
+        if offered > self.list {
+            let Some(slots) = &grant.slots else {
+                return GrantStatus::NeedSlots;
+            };
+            self.replace(now, offered, slots);
+        }
+        self.until = self.until.max(grant.until);
+        GrantStatus::Accepted
+    }
+
+    fn replace(&mut self, now: Millis, list: (Term, u64), slots: &[SlotGrant]) {
+        let next: BTreeMap<SlotId, Epoch> = slots.iter().map(|g| (g.slot, g.epoch)).collect();
+        for (slot, epoch) in std::mem::take(&mut self.slots) {
+            let taken = next.get(&slot) != Some(&epoch);
+            let busy = self.in_flight.contains_key(&SlotGrant { slot, epoch });
+            if taken && busy && now < self.until {
+                self.draining.insert(slot, Drain { epoch, until: self.until });
+            }
+        }
+        self.list = list;
+        self.slots = next;
+    }
+
+    /// Admits a request for a slot; each success must be followed by one [`Self::end`].
+    ///
+    /// # Errors
+    ///
+    /// A refusal is proof that the request did not run.
+    pub fn begin(&mut self, now: Millis, slot: SlotId, epoch: Epoch) -> Result<(), Refusal> {
+        if self.slots.get(&slot) != Some(&epoch) {
+            return Err(Refusal::NotOwner);
+        }
+        if now >= self.until {
+            return Err(Refusal::Lapsed);
+        }
+        *self.in_flight.entry(SlotGrant { slot, epoch }).or_default() += 1;
+        Ok(())
+    }
+
+    /// Returns whether an admitted request may still take effect.
+    #[must_use]
+    pub fn may_finish(&self, now: Millis, slot: SlotId, epoch: Epoch) -> bool {
+        let held = self.slots.get(&slot) == Some(&epoch) && now < self.until;
+        let drained = self.draining.get(&slot);
+        held || drained.is_some_and(|d| d.epoch == epoch && now < d.until)
+    }
+
+    /// Ends an admitted request.
+    pub fn end(&mut self, slot: SlotId, epoch: Epoch) {
+        let key = SlotGrant { slot, epoch };
+        let Some(n) = self.in_flight.get_mut(&key) else {
+            return;
+        };
+        *n -= 1;
+        if *n == 0 {
+            self.in_flight.remove(&key);
+            if self.draining.get(&slot).is_some_and(|d| d.epoch == epoch) {
+                self.draining.remove(&slot);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,160 @@
+//! Shared HTTP plumbing: bodies, answers, and a server with limits and graceful shutdown.
+
+use crate::error::{Cause, Error, Result};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited, combinators::UnsyncBoxBody};
+use hyper::{Request, Response, StatusCode, body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::{conn::auto, graceful::GracefulShutdown},
+};
+use std::{convert::Infallible, future::Future, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore},
+};
+use tokio_util::sync::CancellationToken;
+
+/// Error type of streamed bodies.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
+/// A body of any origin.
+pub type Body = UnsyncBoxBody<Bytes, BodyError>;
+
+/// Limits of one listener.
+#[derive(Debug, Clone, Copy)]
+pub struct ListenerLimits {
+    /// Open connections.
+    pub connections: usize,
+    /// Bytes of headers.
+    pub header_bytes: usize,
+    /// Time for a peer to send its headers.
+    pub header_read: Duration,
+    /// Time that requests in flight get at shutdown.
+    pub drain: Duration,
+}
+
+impl Default for ListenerLimits {
+    fn default() -> Self {
+        Self {
+            connections: 1_024,
+            header_bytes: 32 * 1024,
+            header_read: Duration::from_secs(5),
+            drain: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Returns a body that holds `bytes`.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).map_err(|e| match e {}).boxed_unsync()
+}
+
+/// Returns an answer with a plain body.
+pub fn answer(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+    let mut res = Response::new(full(body));
+    *res.status_mut() = status;
+    res
+}
+
+/// Returns an answer with a JSON body.
+pub fn json(status: StatusCode, value: &impl serde::Serialize) -> Response<Body> {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut res = answer(status, body);
+    let value = hyper::header::HeaderValue::from_static("application/json");
+    res.headers_mut().insert(hyper::header::CONTENT_TYPE, value);
+    res
+}
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Fails if the body is longer or breaks off.
+pub async fn read_body<B>(step: &'static str, peer: &str, body: B, limit: usize) -> Result<Bytes>
+where
+    B: hyper::body::Body,
+    B::Error: Into<BodyError>,
+{
+    let collected = Limited::new(body, limit).collect().await;
+    collected
+        .map(http_body_util::Collected::to_bytes)
+        .map_err(|e| Error::new(step, peer, Cause::Broken(e.to_string())))
+}
+
+/// Serves requests until `stop` is cancelled, then lets requests in flight end.
+pub async fn serve<F, Fut>(
+    listener: TcpListener,
+    limits: ListenerLimits,
+    stop: CancellationToken,
+    handler: F,
+) where
+    F: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
+    Fut: Future<Output = Response<Body>> + Send + 'static,
+{
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_read)
+        .max_buf_size(limits.header_bytes.max(8 * 1024));
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX));
+    let permits = Arc::new(Semaphore::new(limits.connections));
+    let graceful = GracefulShutdown::new();
+    loop {
+        let Some((stream, addr, permit)) = accept(&listener, &permits, &stop).await else {
+            break;
+        };
+        let handler = handler.clone();
+        let service = service_fn(move |mut req: Request<Incoming>| {
+            req.extensions_mut().insert(addr);
+            let res = handler(req);
+            async move { Ok::<_, Infallible>(res.await) }
+        });
+        let conn = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+        let conn = graceful.watch(conn);
+        tokio::spawn(async move {
+            let _ = conn.await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    let _ = tokio::time::timeout(limits.drain, graceful.shutdown()).await;
+}
+
+async fn accept(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+    stop: &CancellationToken,
+) -> Option<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
+    let next = async {
+        loop {
+            let permit = permits.clone().acquire_owned().await.ok()?;
+            match listener.accept().await {
+                Ok((stream, addr)) => {
+                    let _ = stream.set_nodelay(true);
+                    return Some((stream, addr, permit));
+                }
+                Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+            }
+        }
+    };
+    tokio::select! {
+        () = stop.cancelled() => None,
+        accepted = next => accepted,
+    }
+}
+
+/// Binds a listener.
+///
+/// # Errors
+///
+/// Names the address that could not be bound.
+pub async fn bind(step: &'static str, addr: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(addr)
+        .await
+        .map_err(|e| Error::new(step, addr.to_string(), Cause::Unreachable(e.to_string())))
+}
--- /dev/null
+++ b/src/instance.rs
@@ -0,0 +1,514 @@
+//! One daemon process: the state that its parts share, and the tasks that keep it current.
+
+use crate::{
+    agent::{Agent, CellEvent},
+    burn::BurnCounter,
+    cell::{InstanceId, cell_name, split_cell},
+    clock::{Millis, boot_millis},
+    collections::{HashMap, HashSet},
+    error::Result,
+    grant::{Grant, GrantHolder, GrantReply},
+    intents::Intents,
+    link::Links,
+    maps::CellMaps,
+    membership::{InstanceInfo, Member, Membership},
+    peer::{CellMap, Heartbeat},
+    platform::Platform,
+    pool::Pool,
+    record::Record,
+    registry::{Offer, Registry},
+    settings::Settings,
+    upstreams::Upstreams,
+};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, RwLock,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
+
+const PLATFORM_LIMIT: Duration = Duration::from_secs(1);
+const RECORD_CAPACITY: usize = 100_000;
+const POOL_LIMIT: usize = 4_096;
+
+/// One daemon process.
+#[derive(Debug)]
+pub(crate) struct Instance {
+    pub cfg: Arc<Settings>,
+    /// Identity, new at each start.
+    pub id: InstanceId,
+    /// Addresses actually bound.
+    pub addresses: Addresses,
+    pub registry: Registry,
+    pub platform: Platform,
+    pub links: Links,
+    pub maps: CellMaps,
+    /// Connections for grants and probes, apart from those for requests.
+    pub control: Pool,
+    /// Connections for requests, to upstreams and to other instances.
+    pub pool: Pool,
+    pub upstreams: Upstreams,
+    pub intents: Intents,
+    pub record: Record,
+    pub stop: CancellationToken,
+    started: Millis,
+    loaded: AtomicBool,
+    leaving: AtomicBool,
+    platform_up: AtomicBool,
+    membership: Mutex<Membership>,
+    agents: RwLock<HashMap<Arc<str>, mpsc::UnboundedSender<CellEvent>>>,
+    controls: Mutex<HashSet<Arc<str>>>,
+    route_leases: Mutex<HashMap<Arc<str>, GrantHolder>>,
+    listed_leaving: RwLock<LeavingList>,
+    burn: Mutex<HashMap<Arc<str>, BurnCounter>>,
+    kept: Mutex<HashMap<Arc<str>, crate::peer::KeptLines>>,
+    beats: AtomicU64,
+}
+
+/// Addresses that the process listens on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Addresses {
+    pub listen: SocketAddr,
+    pub admin: SocketAddr,
+    pub peer: SocketAddr,
+}
+
+/// Names that the platform lists as leaving, and when the list was read (wall clock).
+#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub(crate) struct LeavingList {
+    pub at: Millis,
+    pub names: Vec<Arc<str>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Instance {
+    pub fn new(cfg: Arc<Settings>, addresses: Addresses, stop: CancellationToken) -> Arc<Self> {
+        // Below 2^53, so that every JSON reader keeps it exact.
+        let id = rand::random::<u64>() >> 12 | 1;
+        let platform = Platform::new(cfg.platform, cfg.data_center.clone(), PLATFORM_LIMIT);
+        let mut membership = Membership::new();
+        let now = boot_millis();
+        cfg.peers.iter().for_each(|addr| membership.add_address(now, *addr));
+        Arc::new(Self {
+            id,
+            addresses,
+            registry: Registry::new(),
+            platform,
+            links: Links::new(cfg.secret.clone()),
+            maps: CellMaps::new(),
+            control: Pool::new(POOL_LIMIT),
+            pool: Pool::new(POOL_LIMIT),
+            upstreams: Upstreams::new(cfg.limits.queue),
+            intents: Intents::new(),
+            record: Record::new(format!("{}-{id:x}", cfg.instance), RECORD_CAPACITY),
+            stop,
+            started: now,
+            loaded: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            platform_up: AtomicBool::new(true),
+            membership: Mutex::new(membership),
+            agents: RwLock::default(),
+            controls: Mutex::default(),
+            route_leases: Mutex::default(),
+            listed_leaving: RwLock::default(),
+            burn: Mutex::default(),
+            kept: Mutex::default(),
+            beats: AtomicU64::new(0),
+            cfg,
+        })
+    }
+
+    pub fn info(&self) -> InstanceInfo {
+        InstanceInfo {
+            id: self.id,
+            name: self.cfg.instance.clone(),
+            data_center: self.cfg.data_center.clone(),
+            rack: self.cfg.rack.clone(),
+            peer: self.addresses.peer,
+            listen: self.addresses.listen,
+            leaving: self.is_leaving(),
+        }
+    }
+
+    pub fn with_membership<T>(&self, f: impl FnOnce(&mut Membership) -> T) -> T {
+        f(&mut lock(&self.membership))
+    }
+
+    pub fn peer_address(&self, id: InstanceId) -> Option<SocketAddr> {
+        self.with_membership(|m| m.get(id).map(|m| m.info.peer))
+    }
+
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    pub fn set_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    pub fn platform_up(&self) -> bool {
+        self.platform_up.load(Ordering::Relaxed)
+    }
+
+    pub fn note_platform(&self, up: bool) {
+        if self.platform_up.swap(up, Ordering::Relaxed) != up {
+            log::warn!(up; "platform reachability changed");
+        }
+    }
+
+    pub fn set_loaded(&self) {
+        self.loaded.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the state that others hold was sought.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the instance has had time to hear of others.
+    pub fn is_settled(&self, now: Millis) -> bool {
+        let t = &self.cfg.timing;
+        self.is_loaded() && now >= self.started + t.promise_ms + t.silent_after()
+    }
+
+    /// Returns whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.is_loaded() && !self.is_leaving() && self.registry.current().revision > 0
+    }
+
+    pub fn set_control(&self, cell: &Arc<str>, controls: bool) {
+        let mut set = lock(&self.controls);
+        if controls {
+            set.insert(cell.clone());
+        } else {
+            set.remove(cell);
+        }
+    }
+
+    pub fn controlled_cells(&self) -> Vec<Arc<str>> {
+        lock(&self.controls).iter().cloned().collect()
+    }
+
+    pub fn is_listed_leaving(&self, name: &str) -> bool {
+        let list = self.listed_leaving.read().unwrap_or_else(PoisonError::into_inner);
+        list.names.iter().any(|n| &**n == name)
+    }
+
+    pub fn leaving_list(&self) -> LeavingList {
+        self.listed_leaving.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Takes a list of leaving names if it is later than the known one.
+    pub fn offer_leaving(&self, list: LeavingList) {
+        let mut known = self.listed_leaving.write().unwrap_or_else(PoisonError::into_inner);
+        if list.at > known.at {
+            *known = list;
+        }
+    }
+
+    /// Returns this instance's position among the live ones of its data centre, and their number.
+    pub fn position(&self) -> (usize, usize) {
+        let now = boot_millis();
+        let within = self.cfg.timing.promise_ms + self.cfg.timing.silent_after();
+        self.with_membership(|m| {
+            let live = m.live(now, within, &self.cfg.data_center);
+            let mut ids: Vec<InstanceId> = live.iter().map(|m| m.info.id).collect();
+            ids.push(self.id);
+            ids.sort_unstable();
+            ids.dedup();
+            (ids.iter().position(|id| *id == self.id).unwrap_or(0), ids.len())
+        })
+    }
+
+    /// Returns whether this instance polls the platform for its data centre.
+    pub fn is_poller(&self) -> bool {
+        self.position().0 == 0
+    }
+
+    /// Counts a request for the report on service-level burn.
+    pub fn count(&self, service: &Arc<str>, failed: bool, slow: bool) {
+        let now = crate::clock::wall_millis();
+        let mut burn = lock(&self.burn);
+        burn.entry(service.clone()).or_default().on_request(now, failed, slow);
+    }
+
+    /// Returns the burn of every service that has requests here.
+    pub fn burn(&self) -> Vec<crate::burn::ServiceBurn> {
+        let now = crate::clock::wall_millis();
+        let snapshot = self.registry.current();
+        let burn = lock(&self.burn);
+        let of = |name: &Arc<str>, c: &BurnCounter| {
+            let service = &snapshot.service(name)?.service;
+            Some(crate::burn::ServiceBurn {
+                service: name.to_string(),
+                objective: service.objective,
+                windows: c.windows(now),
+            })
+        };
+        burn.iter().filter_map(|(name, c)| of(name, c)).collect()
+    }
+
+    // Route leases: grants to this instance for upstreams that check none.
+
+    pub fn on_route_grant(&self, grant: &Grant) -> GrantReply {
+        let mut leases = lock(&self.route_leases);
+        let holder = leases.entry(grant.cell.clone()).or_insert_with(|| GrantHolder::new(self.id));
+        holder.on_grant(boot_millis(), grant)
+    }
+
+    pub fn with_route_lease<T>(
+        &self,
+        cell: &str,
+        f: impl FnOnce(&mut GrantHolder) -> T,
+    ) -> Option<T> {
+        lock(&self.route_leases).get_mut(cell).map(f)
+    }
+
+    pub async fn send_route_grant(&self, addr: SocketAddr, grant: Grant) -> Result<GrantReply> {
+        let limit = Duration::from_millis(self.cfg.timing.promise_ms);
+        let call = self.links.call("send route lease", addr, limit, |client, cx| async move {
+            client.grant(cx, grant).await
+        });
+        call.await
+    }
+
+    // Cells.
+
+    pub fn agent(&self, cell: &str) -> Option<mpsc::UnboundedSender<CellEvent>> {
+        self.agents.read().unwrap_or_else(PoisonError::into_inner).get(cell).cloned()
+    }
+
+    /// Starts agents for the cells of this data centre that have none.
+    pub fn start_agents(self: &Arc<Self>) {
+        let snapshot = self.registry.current();
+        let dc = &self.cfg.data_center;
+        for service in snapshot.services() {
+            let Some(ownership) = &service.ownership else {
+                continue;
+            };
+            if !ownership.homes.contains(dc) {
+                continue;
+            }
+            let cell = cell_name(&service.service.name, dc);
+            let mut agents = self.agents.write().unwrap_or_else(PoisonError::into_inner);
+            agents.entry(cell.clone()).or_insert_with(|| Agent::start(self.clone(), service, cell));
+        }
+    }
+
+    /// Hands all cells over, waiting until each is taken or `limit` has passed.
+    pub async fn resign_all(&self, limit: Duration) {
+        let agents: Vec<_> = {
+            let agents = self.agents.read().unwrap_or_else(PoisonError::into_inner);
+            agents.iter().map(|(cell, tx)| (cell.clone(), tx.clone())).collect()
+        };
+        let resign = async {
+            let mut handed_over = Vec::new();
+            for (cell, tx) in agents {
+                let (done, rx) = oneshot::channel();
+                let sent = tx.send(CellEvent::Stop { tx: done }).is_ok();
+                if sent && rx.await.unwrap_or(false) {
+                    handed_over.push(cell);
+                }
+            }
+            let mut changed = self.maps.subscribe();
+            let mine =
+                |cell: &Arc<str>| self.maps.get(cell).is_some_and(|m| m.row.controller == self.id);
+            while handed_over.iter().any(mine) {
+                if changed.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        let _ = tokio::time::timeout(limit, resign).await;
+    }
+
+    /// Sends a newly committed row to the other instances of the data centre.
+    pub fn push_map(self: &Arc<Self>, map: &CellMap) {
+        let addrs: Vec<SocketAddr> = self.with_membership(|m| {
+            let local = m.all().into_iter().filter(|m| m.info.data_center == self.cfg.data_center);
+            local.map(|m| m.info.peer).collect()
+        });
+        let limit = Duration::from_millis(self.cfg.timing.promise_ms);
+        for addr in addrs {
+            let (instance, map) = (self.clone(), map.clone());
+            tokio::spawn(async move {
+                let pushed = instance
+                    .links
+                    .call("push map", addr, limit, |client, cx| async move {
+                        client.push_map(cx, map).await
+                    })
+                    .await;
+                if let Err(e) = pushed {
+                    log::debug!("{e}");
+                }
+            });
+        }
+    }
+
+    // Heartbeats.
+
+    pub fn heartbeat(&self) -> Heartbeat {
+        let mut cells = self.maps.versions();
+        let local =
+            |cell: &str| split_cell(cell).is_some_and(|(_, dc)| dc == &*self.cfg.data_center);
+        cells.retain(|c| local(&c.cell));
+        Heartbeat {
+            info: self.info(),
+            revision: self.registry.current().revision,
+            controls: lock(&self.controls).len(),
+            cells,
+            known: self.with_membership(|m| m.all().iter().map(|m| m.info.peer).collect()),
+            leaving: self.leaving_list(),
+        }
+    }
+
+    /// Takes a heartbeat or its answer; fetches what the sender has later than this instance.
+    pub fn on_heartbeat(self: &Arc<Self>, beat: Heartbeat) {
+        if beat.info.id == self.id {
+            return;
+        }
+        let now = boot_millis();
+        let from = beat.info.peer;
+        let same_dc = beat.info.data_center == self.cfg.data_center;
+        self.with_membership(|m| {
+            let known = m.addresses();
+            let new =
+                beat.known.iter().filter(|a| !known.contains(a) && **a != self.addresses.peer);
+            new.for_each(|a| m.add_address(now, *a));
+            m.on_heartbeat(Member {
+                info: beat.info,
+                heard: now,
+                revision: beat.revision,
+                controls: beat.controls,
+            });
+        });
+        self.offer_leaving(beat.leaving);
+        if beat.revision > self.registry.current().revision {
+            tokio::spawn(self.clone().fetch_config(from));
+        }
+        for c in beat.cells {
+            let known = self.maps.get(&c.cell).map_or(0, |m| m.version);
+            if same_dc && c.version > known {
+                tokio::spawn(self.clone().fetch_map(from, c.cell));
+            }
+        }
+    }
+
+    async fn fetch_config(self: Arc<Self>, from: SocketAddr) {
+        let since = self.registry.current().revision;
+        let limit = Duration::from_millis(self.cfg.timing.promise_ms);
+        let call = self.links.call("fetch configuration", from, limit, |client, cx| async move {
+            client.config(cx, since).await
+        });
+        match call.await {
+            Ok(Some(config)) => {
+                let revision = config.revision;
+                match config.try_into() {
+                    Ok(resources) => self.install(revision, resources),
+                    Err(e) => log::error!("{e}"),
+                }
+            }
+            Ok(None) => {}
+            Err(e) => log::debug!("{e}"),
+        }
+    }
+
+    async fn fetch_map(self: Arc<Self>, from: SocketAddr, cell: Arc<str>) {
+        let limit = Duration::from_millis(self.cfg.timing.promise_ms);
+        let fetch = self.links.call("fetch map", from, limit, |client, cx| async move {
+            client.cell_map(cx, cell).await
+        });
+        match fetch.await {
+            Ok(Some(map)) => {
+                self.maps.offer(map);
+            }
+            Ok(None) => {}
+            Err(e) => log::debug!("{e}"),
+        }
+    }
+
+    /// Puts a configuration in force if it is later and acceptable.
+    pub fn install(self: &Arc<Self>, revision: u64, resources: Vec<crate::VersionedResource>) {
+        match self.registry.offer(revision, resources) {
+            Offer::Installed => {
+                log::info!(revision; "configuration in force");
+                self.record.note("configuration", serde_json::json!({ "revision": revision }));
+                self.start_agents();
+                self.upstreams.apply(&self.registry.current(), boot_millis());
+                self.beat(true);
+            }
+            Offer::NotLater => {}
+            Offer::Refused(why) => log::error!(revision, why = &*why; "configuration refused"),
+        }
+    }
+
+    /// Sends heartbeats: to the own data centre always, to others every fourth time or if `all`.
+    pub fn beat(self: &Arc<Self>, all: bool) {
+        let n = self.beats.fetch_add(1, Ordering::Relaxed);
+        let beat = self.heartbeat();
+        let limit = Duration::from_millis(self.cfg.timing.promise_ms);
+        let (addrs, elsewhere) = self.with_membership(|m| {
+            let other = |m: &&Member| m.info.data_center != self.cfg.data_center;
+            let elsewhere: HashSet<SocketAddr> =
+                m.all().into_iter().filter(other).map(|m| m.info.peer).collect();
+            (m.addresses(), elsewhere)
+        });
+        let due = |a: &SocketAddr| all || n.is_multiple_of(4) || !elsewhere.contains(a);
+        for addr in addrs.into_iter().filter(|a| *a != self.addresses.peer && due(a)) {
+            let (instance, beat) = (self.clone(), beat.clone());
+            tokio::spawn(async move {
+                let call = instance.links.call("heartbeat", addr, limit, |client, cx| async move {
+                    client.heartbeat(cx, beat).await
+                });
+                match call.await {
+                    Ok(answer) => instance.on_heartbeat(answer),
+                    Err(e) => log::debug!("{e}"),
+                }
+            });
+        }
+    }
+
+    // Lines of the record kept for a peer.
+
+    pub fn keep_lines(&self, lines: crate::peer::KeptLines) {
+        let mut kept = lock(&self.kept);
+        let entry = kept.entry(lines.chain.clone()).or_insert_with(|| crate::peer::KeptLines {
+            chain: lines.chain.clone(),
+            id: lines.id,
+            first: lines.first,
+            lines: Vec::new(),
+        });
+        let end = entry.first + entry.lines.len() as u64;
+        if lines.first > end || lines.first < entry.first {
+            *entry = lines;
+            return;
+        }
+        let known = usize::try_from(end - lines.first).unwrap_or(usize::MAX);
+        entry.lines.extend(lines.lines.into_iter().skip(known));
+    }
+
+    pub fn drop_kept(&self, chain: &str, before: u64) {
+        let mut kept = lock(&self.kept);
+        let Some(entry) = kept.get_mut(chain) else {
+            return;
+        };
+        let stored = usize::try_from(before.saturating_sub(entry.first)).unwrap_or(usize::MAX);
+        entry.lines.drain(..stored.min(entry.lines.len()));
+        entry.first = entry.first.max(before);
+    }
+
+    /// Returns kept lines whose writers have not been heard of.
+    pub fn orphaned_lines(&self) -> Vec<crate::peer::KeptLines> {
+        let kept = lock(&self.kept);
+        let orphaned = kept.values().filter(|k| !k.lines.is_empty());
+        let gone = |id| self.with_membership(|m| m.get(id).is_none());
+        orphaned.filter(|k| gone(k.id)).cloned().collect()
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,52 @@
+//! Coordination parts for servers that own keys exclusively, and the router built from them.
+//!
+//! The decisions are plain structs without I/O or clocks: [`controller`], [`standby`], [`grant`],
+//! [`placement`], [`slot`] and others can be used alone. The daemon's tasks carry inputs in and
+//! actions out.
+
+pub mod admin;
+mod agent;
+mod attempt;
+pub mod balance;
+mod body;
+pub mod budget;
+pub mod burn;
+pub mod cell;
+pub mod clock;
+pub mod collections;
+pub mod controller;
+pub mod daemon;
+pub mod dev;
+pub mod error;
+pub mod gate;
+pub mod grant;
+pub mod http;
+mod instance;
+pub mod intents;
+pub mod jsonc;
+mod link;
+pub mod logging;
+mod maps;
+pub mod membership;
+pub mod outcome;
+mod peer;
+mod peer_server;
+pub mod placement;
+pub mod platform;
+pub mod pool;
+mod proxy;
+pub mod record;
+pub mod registry;
+pub mod resource;
+pub mod route;
+pub mod settings;
+pub mod slot;
+pub mod standby;
+pub mod standin;
+mod tasks;
+mod transport;
+mod upstreams;
+pub mod wire;
+
+pub use error::{Error, Result};
+pub use peer::VersionedResource;
--- /dev/null
+++ b/src/link.rs
@@ -0,0 +1,122 @@
+//! Connections to other instances, made when needed, with back-off after failures.
+
+use crate::{
+    clock::{Millis, boot_millis},
+    collections::HashMap,
+    error::{Cause, Error, Result},
+    peer::PeerClient,
+    settings::Secret,
+    transport,
+};
+use rand::Rng;
+use std::{
+    future::Future,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+use tarpc::{client::RpcError, context};
+
+const BACK_OFF_MIN_MS: Millis = 50;
+const BACK_OFF_MAX_MS: Millis = 2_000;
+
+/// Connections to all peers.
+#[derive(Debug)]
+pub(crate) struct Links {
+    secret: Secret,
+    links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
+}
+
+#[derive(Debug, Default)]
+struct Link {
+    state: tokio::sync::Mutex<LinkState>,
+}
+
+#[derive(Debug, Default)]
+struct LinkState {
+    client: Option<PeerClient>,
+    failures: u32,
+    retry_at: Millis,
+}
+
+impl Links {
+    pub fn new(secret: Secret) -> Self {
+        Self { secret, links: Mutex::default() }
+    }
+
+    /// Calls a peer; `limit` bounds the whole exchange.
+    pub async fn call<T, Fut>(
+        &self,
+        step: &'static str,
+        addr: SocketAddr,
+        limit: Duration,
+        f: impl FnOnce(PeerClient, context::Context) -> Fut,
+    ) -> Result<T>
+    where
+        Fut: Future<Output = std::result::Result<T, RpcError>>,
+    {
+        let link = self.link(addr);
+        let exchange = async {
+            let client = self.client(&link, addr).await?;
+            let mut cx = context::current();
+            cx.deadline = Instant::now() + limit;
+            let result = f(client, cx).await;
+            if matches!(result, Err(RpcError::Shutdown | RpcError::Channel(_))) {
+                link.state.lock().await.client = None;
+            }
+            result.map_err(|e| Error::new(step, addr.to_string(), Cause::Broken(e.to_string())))
+        };
+        let late = |_| {
+            let ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
+            Error::new(step, addr.to_string(), Cause::TimedOut(ms))
+        };
+        let result = tokio::time::timeout(limit, exchange).await.map_err(late);
+        if result.is_err() {
+            // The connection may be dead without either side having noticed.
+            link.state.lock().await.client = None;
+        }
+        result?
+    }
+
+    /// Drops connections to addresses other than those in `keep`.
+    pub fn retain(&self, keep: &[SocketAddr]) {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.retain(|addr, _| keep.contains(addr));
+    }
+
+    fn link(&self, addr: SocketAddr) -> Arc<Link> {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.entry(addr).or_default().clone()
+    }
+
+    async fn client(&self, link: &Link, addr: SocketAddr) -> Result<PeerClient> {
+        let mut state = link.state.lock().await;
+        if let Some(client) = &state.client {
+            return Ok(client.clone());
+        }
+        let now = boot_millis();
+        if now < state.retry_at {
+            let wait = state.retry_at - now;
+            let cause = Cause::Unreachable(format!("next attempt in {wait} ms"));
+            return Err(Error::new("connect to peer", addr.to_string(), cause));
+        }
+        match transport::connect(addr, self.secret.expose()).await {
+            Ok(transport) => {
+                let client = PeerClient::new(tarpc::client::Config::default(), transport).spawn();
+                *state = LinkState { client: Some(client.clone()), ..LinkState::default() };
+                Ok(client)
+            }
+            Err(e) => {
+                state.retry_at = now + back_off(state.failures);
+                state.failures = state.failures.saturating_add(1);
+                Err(e)
+            }
+        }
+    }
+}
+
+/// Returns a time in milliseconds to wait after `failures` earlier ones, with jitter.
+fn back_off(failures: u32) -> Millis {
+    let ceiling = (BACK_OFF_MIN_MS << failures.min(10)).min(BACK_OFF_MAX_MS);
+    rand::rng().random_range(ceiling / 2..=ceiling)
+}
--- /dev/null
+++ b/src/maps.rs
@@ -0,0 +1,48 @@
+//! The latest known row of each cell, for routing.
+
+use crate::{collections::HashMap, peer::CellMap, peer::CellVersion};
+use std::sync::{Arc, PoisonError, RwLock};
+use tokio::sync::watch;
+
+/// Rows of cells; each only ever moves to a later version.
+#[derive(Debug)]
+pub(crate) struct CellMaps {
+    maps: RwLock<HashMap<Arc<str>, CellMap>>,
+    changed: watch::Sender<u64>,
+}
+
+impl CellMaps {
+    pub fn new() -> Self {
+        Self { maps: RwLock::default(), changed: watch::Sender::new(0) }
+    }
+
+    /// Takes a row if it is later than the known one.
+    pub fn offer(&self, map: CellMap) -> bool {
+        let mut maps = self.maps.write().unwrap_or_else(PoisonError::into_inner);
+        let later = maps.get(&map.cell).is_none_or(|known| known.version < map.version);
+        if later {
+            maps.insert(map.cell.clone(), map);
+            drop(maps);
+            self.changed.send_modify(|n| *n += 1);
+        }
+        later
+    }
+
+    pub fn get(&self, cell: &str) -> Option<CellMap> {
+        self.maps.read().unwrap_or_else(PoisonError::into_inner).get(cell).cloned()
+    }
+
+    pub fn all(&self) -> Vec<CellMap> {
+        self.maps.read().unwrap_or_else(PoisonError::into_inner).values().cloned().collect()
+    }
+
+    pub fn versions(&self) -> Vec<CellVersion> {
+        let version = |m: CellMap| CellVersion { cell: m.cell, version: m.version };
+        self.all().into_iter().map(version).collect()
+    }
+
+    /// Returns a receiver that sees each change of any row.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+}
--- /dev/null
+++ b/src/membership.rs
@@ -0,0 +1,138 @@
+//! Which instances exist and which of them answer, from heartbeats.
+//!
+//! Membership only decides whom to ask and where to send; safety never rests on it.
+
+use crate::{cell::InstanceId, clock::Millis, collections::HashMap};
+use serde::{Deserialize, Serialize};
+use std::{net::SocketAddr, sync::Arc};
+
+/// What an instance says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceInfo {
+    /// Identity, new at each start.
+    pub id: InstanceId,
+    /// Name, for people.
+    pub name: Arc<str>,
+    /// Data centre that it runs in.
+    pub data_center: Arc<str>,
+    /// Rack or switch group, empty if unknown.
+    pub rack: Arc<str>,
+    /// Address for other instances.
+    pub peer: SocketAddr,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+}
+
+/// A member as this instance sees it.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// What it said of itself.
+    pub info: InstanceInfo,
+    /// When it last answered, on the local clock.
+    pub heard: Millis,
+    /// Configuration revision that it has in force.
+    pub revision: u64,
+    /// Number of cells that it controls.
+    pub controls: usize,
+}
+
+/// The members that this instance knows.
+#[derive(Debug, Default)]
+pub struct Membership {
+    members: HashMap<InstanceId, Member>,
+    /// Addresses that may belong to an instance, and when they were last worth trying.
+    known: HashMap<SocketAddr, Millis>,
+}
+
+impl Membership {
+    /// Creates a membership that knows nobody.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes an address at which an instance may be found.
+    pub fn add_address(&mut self, now: Millis, addr: SocketAddr) {
+        self.known.insert(addr, now);
+    }
+
+    /// Returns the addresses to send heartbeats to.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.known.keys().copied().collect()
+    }
+
+    /// Takes a heartbeat or its answer. A new identity at the same address replaces the old one.
+    pub fn on_heartbeat(&mut self, member: Member) {
+        let Member { info, heard, .. } = &member;
+        self.known.insert(info.peer, *heard);
+        self.members.retain(|id, m| *id == info.id || m.info.peer != info.peer);
+        self.members.insert(info.id, member);
+    }
+
+    /// Forgets members and addresses that have not answered for `after`, but for `seeds`.
+    pub fn forget(&mut self, now: Millis, after: Millis, seeds: &[SocketAddr]) {
+        self.members.retain(|_, m| now < m.heard + after);
+        self.known.retain(|addr, tried| now < *tried + after || seeds.contains(addr));
+    }
+
+    /// Returns a member.
+    #[must_use]
+    pub fn get(&self, id: InstanceId) -> Option<&Member> {
+        self.members.get(&id)
+    }
+
+    /// Returns all members, sorted by name.
+    #[must_use]
+    pub fn all(&self) -> Vec<&Member> {
+        let mut all: Vec<&Member> = self.members.values().collect();
+        all.sort_by(|a, b| a.info.name.cmp(&b.info.name).then(a.info.id.cmp(&b.info.id)));
+        all
+    }
+
+    /// Returns the members of a data centre that answered within `within` and are not leaving.
+    #[must_use]
+    pub fn live(&self, now: Millis, within: Millis, data_center: &str) -> Vec<&Member> {
+        let mut live = self.all();
+        live.retain(|m| {
+            now < m.heard + within && !m.info.leaving && &*m.info.data_center == data_center
+        });
+        live
+    }
+}
+
+/// Orders candidates for a cell by rendezvous hashing, so that cells spread over instances.
+#[must_use]
+pub fn rank(cell: &str, candidates: impl Iterator<Item = InstanceId>) -> Vec<InstanceId> {
+    let weight = |id: &InstanceId| crate::slot::key_hash(cell, &format!("{id:x}"));
+    let mut ranked: Vec<InstanceId> = candidates.collect();
+    ranked.sort_by_key(|id| std::cmp::Reverse((weight(id), *id)));
+    ranked
+}
+
+/// Chooses standbys by rank: from other racks than the controller's first, and from distinct ones.
+#[must_use]
+pub fn choose_standbys(
+    ranked: &[InstanceId],
+    rack_of: impl Fn(InstanceId) -> Arc<str>,
+    own_rack: &str,
+    count: usize,
+) -> Vec<InstanceId> {
+    let mut chosen: Vec<InstanceId> = Vec::new();
+    let mut racks: Vec<Arc<str>> = vec![own_rack.into()];
+    let mut rest = Vec::new();
+    for id in ranked {
+        let rack = rack_of(*id);
+        if racks.contains(&rack) {
+            rest.push(*id);
+        } else {
+            racks.push(rack);
+            chosen.push(*id);
+        }
+    }
+    chosen.extend(rest);
+    chosen.truncate(count);
+    chosen
+}
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,134 @@
+//! The protocol between instances: a tarpc service and its wire types.
+
+use crate::{
+    cell::{CellRow, InstanceId},
+    clock::Millis,
+    controller::Ask,
+    error::Error,
+    grant::{Grant, GrantReply},
+    instance::LeavingList,
+    membership::InstanceInfo,
+    registry::Snapshot,
+    resource::Resource,
+    slot::Term,
+};
+use serde::{Deserialize, Serialize};
+use std::{net::SocketAddr, sync::Arc};
+
+/// A heartbeat and its answer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Heartbeat {
+    /// The sender.
+    pub info: InstanceInfo,
+    /// Configuration revision that it has in force.
+    pub revision: u64,
+    /// Number of cells that it controls.
+    pub controls: usize,
+    /// Cells whose rows it knows, of its own data centre.
+    pub cells: Vec<CellVersion>,
+    /// Some peer addresses that it knows.
+    pub known: Vec<SocketAddr>,
+    /// Upstreams and instances that the platform lists as leaving.
+    pub leaving: LeavingList,
+}
+
+/// Version of a cell's row that an instance knows.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct CellVersion {
+    pub cell: Arc<str>,
+    pub version: u64,
+}
+
+/// A committed row of a cell.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct CellMap {
+    pub cell: Arc<str>,
+    pub version: u64,
+    pub row: Arc<CellRow>,
+}
+
+/// A configuration revision. The resources are in JSON: CBOR does not carry their form.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct ConfigWire {
+    pub revision: u64,
+    resources: String,
+}
+
+impl From<&Snapshot> for ConfigWire {
+    fn from(snapshot: &Snapshot) -> Self {
+        let resources = serde_json::to_string(&snapshot.resources).unwrap_or_default();
+        Self { revision: snapshot.revision, resources }
+    }
+}
+
+impl TryFrom<ConfigWire> for Vec<VersionedResource> {
+    type Error = Error;
+
+    fn try_from(wire: ConfigWire) -> Result<Self, Error> {
+        serde_json::from_str(&wire.resources)
+            .map_err(|e| Error::invalid("read configuration", e.to_string()))
+    }
+}
+
+/// A resource and the revision that last changed it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct VersionedResource {
+    /// Revision that last changed the resource.
+    pub version: u64,
+    /// The resource.
+    pub resource: Resource,
+}
+
+/// Wire form of [`Ask`].
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct AskWire {
+    from: InstanceId,
+    term: Term,
+    sent_at: Millis,
+    span: Millis,
+}
+
+impl From<Ask> for AskWire {
+    fn from(ask: Ask) -> Self {
+        Self { from: ask.from, term: ask.term, sent_at: ask.sent_at, span: ask.span }
+    }
+}
+
+impl From<AskWire> for Ask {
+    fn from(ask: AskWire) -> Self {
+        Self { from: ask.from, term: ask.term, sent_at: ask.sent_at, span: ask.span }
+    }
+}
+
+/// Lines of the record that a peer keeps until they are stored.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct KeptLines {
+    pub chain: Arc<str>,
+    /// The writer.
+    pub id: InstanceId,
+    /// Number of the first line.
+    pub first: u64,
+    pub lines: Vec<String>,
+}
+
+#[tarpc::service]
+pub(crate) trait Peer {
+    /// Exchanges what both sides know of themselves.
+    async fn heartbeat(beat: Heartbeat) -> Heartbeat;
+    /// Asks for a promise not to take a cell over.
+    async fn ask(cell: Arc<str>, ask: AskWire) -> bool;
+    /// Tells a standby to take a cell over at once.
+    async fn hand_over(cell: Arc<str>, term: Term);
+    /// Returns the latest row known of a cell.
+    async fn cell_map(cell: Arc<str>) -> Option<CellMap>;
+    /// Announces a newly committed row.
+    async fn push_map(map: CellMap);
+    /// Returns the configuration in force, if it is later than `since`.
+    async fn config(since: u64) -> Option<ConfigWire>;
+    /// Grants slots of upstreams that do not check grants themselves.
+    async fn grant(grant: Grant) -> GrantReply;
+    /// Keeps lines of the record until the sender says that they are stored.
+    async fn keep(lines: KeptLines);
+    /// Says that a chain's lines before `line` are stored.
+    async fn kept_until(chain: Arc<str>, line: u64);
+}
--- /dev/null
+++ b/src/peer_server.rs
@@ -0,0 +1,100 @@
+//! The serving side of the protocol between instances.
+
+use crate::{
+    agent::CellEvent,
+    grant::{Grant, GrantReply},
+    instance::Instance,
+    peer::{AskWire, CellMap, ConfigWire, Heartbeat, KeptLines, Peer},
+    slot::Term,
+    transport,
+};
+use futures::StreamExt;
+use std::{sync::Arc, time::Duration};
+use tarpc::{
+    context::Context,
+    server::{BaseChannel, Channel},
+};
+use tokio::{net::TcpListener, sync::oneshot};
+
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+#[derive(Clone)]
+struct Server {
+    instance: Arc<Instance>,
+}
+
+impl Peer for Server {
+    async fn heartbeat(self, _: Context, beat: Heartbeat) -> Heartbeat {
+        self.instance.on_heartbeat(beat);
+        self.instance.heartbeat()
+    }
+
+    async fn ask(self, _: Context, cell: Arc<str>, ask: AskWire) -> bool {
+        let Some(agent) = self.instance.agent(&cell) else {
+            return false;
+        };
+        let (tx, rx) = oneshot::channel();
+        let sent = agent.send(CellEvent::Ask { ask: ask.into(), tx });
+        sent.is_ok() && rx.await.unwrap_or(false)
+    }
+
+    async fn hand_over(self, _: Context, cell: Arc<str>, term: Term) {
+        if let Some(agent) = self.instance.agent(&cell) {
+            let _ = agent.send(CellEvent::HandOver { term });
+        }
+    }
+
+    async fn cell_map(self, _: Context, cell: Arc<str>) -> Option<CellMap> {
+        self.instance.maps.get(&cell)
+    }
+
+    async fn push_map(self, _: Context, map: CellMap) {
+        self.instance.maps.offer(map);
+    }
+
+    async fn config(self, _: Context, since: u64) -> Option<ConfigWire> {
+        self.instance.registry.wire_since(since)
+    }
+
+    async fn grant(self, _: Context, grant: Grant) -> GrantReply {
+        self.instance.on_route_grant(&grant)
+    }
+
+    async fn keep(self, _: Context, lines: KeptLines) {
+        self.instance.keep_lines(lines);
+    }
+
+    async fn kept_until(self, _: Context, chain: Arc<str>, line: u64) {
+        self.instance.drop_kept(&chain, line);
+    }
+}
+
+/// Serves peers until the instance stops.
+pub(crate) async fn serve(instance: Arc<Instance>, listener: TcpListener) {
+    let stop = instance.stop.clone();
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let instance = instance.clone();
+        tokio::spawn(async move {
+            let secret = instance.cfg.secret.clone();
+            match transport::accept(stream, move |given| secret.matches(given)).await {
+                Ok(transport) => {
+                    let channel = BaseChannel::with_defaults(transport);
+                    let requests = channel.execute(Server { instance }.serve());
+                    let spawn = |response| async move {
+                        tokio::spawn(response);
+                    };
+                    requests.for_each(spawn).await;
+                }
+                Err(e) => log::debug!("{e}"),
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,288 @@
+//! Client of the platform: transactional table, object store and instance list over HTTP.
+
+use crate::{
+    error::{Cause, Error, Result},
+    http,
+    pool::{self, Pool},
+};
+use bytes::Bytes;
+use hyper::{Method, Request, StatusCode};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+const CONNECTIONS: usize = 16;
+const ERROR_TEXT_BYTES: usize = 200;
+
+/// A row of the table.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Row {
+    /// Key of the row.
+    pub key: String,
+    /// Version, which grows with each change of the row.
+    pub version: u64,
+    /// Content.
+    pub value: serde_json::Value,
+}
+
+/// A transaction: all conditions hold and all changes are made, or none is.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Commit {
+    /// Versions that rows must have, 0 for rows that must not exist.
+    #[serde(default)]
+    pub expect: Vec<Expect>,
+    /// Rows to write.
+    #[serde(default)]
+    pub put: Vec<Put>,
+    /// Keys of rows to remove.
+    #[serde(default)]
+    pub delete: Vec<String>,
+}
+
+/// A condition of a transaction.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Expect {
+    /// Key of the row.
+    pub key: String,
+    /// Version that it must have, 0 if it must not exist.
+    pub version: u64,
+}
+
+/// A row to write.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Put {
+    /// Key of the row.
+    pub key: String,
+    /// New content.
+    pub value: serde_json::Value,
+}
+
+/// Answer to a transaction that took effect.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct CommitReply {
+    /// Version of every row that it wrote.
+    pub version: u64,
+}
+
+/// Answer to a transaction whose condition failed.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ConflictReply {
+    /// Row whose condition failed.
+    pub key: String,
+    /// Its version, 0 if it does not exist.
+    pub version: u64,
+}
+
+/// An entry of the platform's instance list, which lags.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct InstanceEntry {
+    /// Name of an upstream or an entry instance.
+    pub name: Arc<str>,
+    /// Whether it runs or is about to stop.
+    pub state: InstanceState,
+}
+
+/// State of an instance in the platform's list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum InstanceState {
+    /// It runs.
+    Live,
+    /// It is about to stop.
+    Leaving,
+}
+
+/// Client of the platform.
+#[derive(Debug)]
+pub struct Platform {
+    addr: SocketAddr,
+    data_center: Arc<str>,
+    pool: Pool,
+    limit: Duration,
+    reads: AtomicU64,
+    writes: AtomicU64,
+}
+
+impl Platform {
+    /// Creates a client for callers in `data_center`; each call takes at most `limit`.
+    #[must_use]
+    pub fn new(addr: SocketAddr, data_center: Arc<str>, limit: Duration) -> Self {
+        let pool = Pool::new(CONNECTIONS);
+        let (reads, writes) = (AtomicU64::new(0), AtomicU64::new(0));
+        Self { addr, data_center, pool, limit, reads, writes }
+    }
+
+    /// Returns the numbers of reads and writes sent so far.
+    #[must_use]
+    pub fn calls(&self) -> (u64, u64) {
+        (self.reads.load(Ordering::Relaxed), self.writes.load(Ordering::Relaxed))
+    }
+
+    /// Reads a row, `None` if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer, or answers with an error.
+    pub async fn row(&self, key: &str) -> Result<Option<Row>> {
+        self.get("read row", &format!("/v1/table/rows/{key}")).await
+    }
+
+    /// Reads a row as a typed value with its version, `None` if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::row`], and if the row has another form.
+    pub async fn typed_row<T: DeserializeOwned>(&self, key: &str) -> Result<Option<(u64, T)>> {
+        let Some(row) = self.row(key).await? else {
+            return Ok(None);
+        };
+        let value = serde_json::from_value(row.value)
+            .map_err(|e| Error::invalid("read row", format!("row {key}: {e}")))?;
+        Ok(Some((row.version, value)))
+    }
+
+    /// Reads all rows whose key starts with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer, or answers with an error.
+    pub async fn rows(&self, prefix: &str) -> Result<Vec<Row>> {
+        let rows = self.get("read rows", &format!("/v1/table/rows?prefix={prefix}")).await?;
+        Ok(rows.unwrap_or_default())
+    }
+
+    /// Runs a transaction and returns the new version of the rows it wrote.
+    ///
+    /// # Errors
+    ///
+    /// [`Cause::Conflict`] if a condition failed. Otherwise [`Error::is_unsettled`] tells whether
+    /// the transaction may have taken effect.
+    pub async fn commit(&self, commit: &Commit) -> Result<u64> {
+        let body =
+            serde_json::to_vec(commit).map_err(|e| Error::invalid("commit", e.to_string()))?;
+        let (status, bytes) = self.send("commit", Method::POST, "/v1/table/commit", body).await?;
+        match status {
+            StatusCode::OK => Ok(self.decode::<CommitReply>("commit", &bytes)?.version),
+            StatusCode::CONFLICT => {
+                let reply: ConflictReply = self.decode("commit", &bytes)?;
+                let cause = Cause::Conflict { key: reply.key, current: reply.version };
+                Err(self.error("commit", cause))
+            }
+            _ => Err(self.status("commit", status, &bytes)),
+        }
+    }
+
+    /// Writes one row if it has version `expected`, 0 if it must not exist.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::commit`].
+    pub async fn put(&self, key: &str, expected: u64, value: &impl Serialize) -> Result<u64> {
+        let value =
+            serde_json::to_value(value).map_err(|e| Error::invalid("commit", e.to_string()))?;
+        let commit = Commit {
+            expect: vec![Expect { key: key.to_owned(), version: expected }],
+            put: vec![Put { key: key.to_owned(), value }],
+            delete: Vec::new(),
+        };
+        self.commit(&commit).await
+    }
+
+    /// Stores an object; `false` if one of this name exists already.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer, or answers with an error.
+    pub async fn put_object(&self, name: &str, body: Bytes) -> Result<bool> {
+        let path = format!("/v1/objects/{name}");
+        let (status, bytes) = self.send("store object", Method::PUT, &path, body).await?;
+        match status {
+            StatusCode::CREATED => Ok(true),
+            StatusCode::PRECONDITION_FAILED => Ok(false),
+            _ => Err(self.status("store object", status, &bytes)),
+        }
+    }
+
+    /// Reads an object, `None` if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer, or answers with an error.
+    pub async fn object(&self, name: &str) -> Result<Option<Bytes>> {
+        let path = format!("/v1/objects/{name}");
+        let (status, bytes) = self.send("read object", Method::GET, &path, Bytes::new()).await?;
+        match status {
+            StatusCode::OK => Ok(Some(bytes)),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(self.status("read object", status, &bytes)),
+        }
+    }
+
+    /// Lists the names of objects that start with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer, or answers with an error.
+    pub async fn objects(&self, prefix: &str) -> Result<Vec<String>> {
+        let names = self.get("list objects", &format!("/v1/objects?prefix={prefix}")).await?;
+        Ok(names.unwrap_or_default())
+    }
+
+    /// Reads the lagging list of instances.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer, or answers with an error.
+    pub async fn instances(&self) -> Result<Vec<InstanceEntry>> {
+        Ok(self.get("list instances", "/v1/instances").await?.unwrap_or_default())
+    }
+
+    async fn get<T: DeserializeOwned>(&self, step: &'static str, path: &str) -> Result<Option<T>> {
+        let (status, bytes) = self.send(step, Method::GET, path, Bytes::new()).await?;
+        match status {
+            StatusCode::OK => self.decode(step, &bytes).map(Some),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(self.status(step, status, &bytes)),
+        }
+    }
+
+    async fn send(
+        &self,
+        step: &'static str,
+        method: Method,
+        path: &str,
+        body: impl Into<Bytes>,
+    ) -> Result<(StatusCode, Bytes)> {
+        let counter = if method == Method::GET { &self.reads } else { &self.writes };
+        counter.fetch_add(1, Ordering::Relaxed);
+        let req = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", self.addr.to_string())
+            .header("x-data-center", &*self.data_center)
+            .body(http::full(body))
+            .map_err(|e| Error::invalid(step, e.to_string()))?;
+        let (status, _, bytes) = pool::call(&self.pool, step, self.addr, req, self.limit).await?;
+        Ok((status, bytes))
+    }
+
+    fn decode<T: DeserializeOwned>(&self, step: &'static str, bytes: &[u8]) -> Result<T> {
+        serde_json::from_slice(bytes)
+            .map_err(|e| self.error(step, Cause::Invalid(format!("malformed answer: {e}"))))
+    }
+
+    fn status(&self, step: &'static str, status: StatusCode, bytes: &[u8]) -> Error {
+        let start = &bytes[..bytes.len().min(ERROR_TEXT_BYTES)];
+        let text = String::from_utf8_lossy(start).trim().to_owned();
+        self.error(step, Cause::Status { status: status.as_u16(), text })
+    }
+
+    fn error(&self, step: &'static str, cause: Cause) -> Error {
+        Error::new(step, self.addr.to_string(), cause)
+    }
+}
--- /dev/null
+++ b/src/pool.rs
@@ -0,0 +1,185 @@
+//! Connections to HTTP servers: reuse, limits, and proof of what was not sent.
+
+use crate::{
+    collections::HashMap,
+    error::{Cause, Error, Result},
+    http::Body,
+};
+use hyper::{Request, Response, body::Incoming, client::conn::http1::SendRequest};
+use hyper_util::rt::TokioIo;
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+use tokio::{net::TcpStream, sync::OwnedSemaphorePermit, sync::Semaphore};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const IDLE_LIMIT: Duration = Duration::from_secs(20);
+const MAX_CALL_BYTES: usize = 64 << 20;
+
+/// Idle connections to many servers, with a limit for each.
+#[derive(Debug)]
+pub struct Pool {
+    limit: usize,
+    hosts: Mutex<HashMap<SocketAddr, Arc<Host>>>,
+}
+
+#[derive(Debug)]
+struct Host {
+    permits: Arc<Semaphore>,
+    idle: Mutex<Vec<Idle>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    tx: SendRequest<Body>,
+    since: Instant,
+}
+
+/// A connection in use; returned to the pool by [`Lease::reuse`], closed when dropped.
+#[derive(Debug)]
+pub struct Lease {
+    host: Arc<Host>,
+    tx: SendRequest<Body>,
+    _permit: OwnedSemaphorePermit,
+}
+
+/// A request that was not answered.
+#[derive(Debug)]
+pub struct SendFailure {
+    /// The request, if nothing of it was written to the connection.
+    pub unsent: Option<Request<Body>>,
+    /// What went wrong.
+    pub error: Error,
+}
+
+impl Pool {
+    /// Creates a pool that opens at most `limit` connections to each server.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self { limit: limit.max(1), hosts: Mutex::default() }
+    }
+
+    /// Takes an idle connection or opens one, waiting while the limit is reached.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the server cannot be reached; nothing was sent then.
+    pub async fn lease(&self, addr: SocketAddr) -> Result<Lease> {
+        let host = self.host(addr);
+        let permits = host.permits.clone();
+        let permit = permits.acquire_owned().await.map_err(|e| unreachable(addr, &e))?;
+        let reused = host.take_idle();
+        let tx = match reused {
+            Some(tx) => tx,
+            None => connect(addr).await?,
+        };
+        Ok(Lease { host, tx, _permit: permit })
+    }
+
+    /// Forgets servers other than those in `keep`, closing their idle connections.
+    pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
+        let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        hosts.retain(|addr, _| keep(addr));
+    }
+
+    fn host(&self, addr: SocketAddr) -> Arc<Host> {
+        let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        let new = || {
+            let permits = Arc::new(Semaphore::new(self.limit));
+            Arc::new(Host { permits, idle: Mutex::default() })
+        };
+        hosts.entry(addr).or_insert_with(new).clone()
+    }
+}
+
+impl Host {
+    fn take_idle(&self) -> Option<SendRequest<Body>> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|i| i.since.elapsed() < IDLE_LIMIT && !i.tx.is_closed());
+        let ready = idle.iter().rposition(|i| i.tx.is_ready())?;
+        Some(idle.remove(ready).tx)
+    }
+}
+
+impl Lease {
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the request itself where nothing of it was written.
+    pub async fn send(
+        &mut self,
+        peer: &str,
+        req: Request<Body>,
+    ) -> std::result::Result<Response<Incoming>, SendFailure> {
+        self.tx.try_send_request(req).await.map_err(|mut e| {
+            let unsent = e.take_message();
+            let text = e.into_error().to_string();
+            let cause = match unsent {
+                Some(_) => Cause::Unreachable(text),
+                None => Cause::Broken(text),
+            };
+            SendFailure { unsent, error: Error::new("send request", peer, cause) }
+        })
+    }
+
+    /// Returns the connection to the pool once the answer has been read to its end.
+    pub fn reuse(self) {
+        if self.tx.is_closed() {
+            return;
+        }
+        let mut idle = self.host.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.push(Idle { tx: self.tx, since: Instant::now() });
+    }
+}
+
+fn unreachable(addr: SocketAddr, e: &impl std::fmt::Display) -> Error {
+    Error::new("connect", addr.to_string(), Cause::Unreachable(e.to_string()))
+}
+
+async fn connect(addr: SocketAddr) -> Result<SendRequest<Body>> {
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
+        .await
+        .map_err(|e| unreachable(addr, &e))?
+        .map_err(|e| unreachable(addr, &e))?;
+    let _ = stream.set_nodelay(true);
+    let (mut tx, conn) = hyper::client::conn::http1::Builder::new()
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| unreachable(addr, &e))?;
+    tokio::spawn(async move {
+        let _ = conn.await;
+    });
+    tx.ready().await.map_err(|e| unreachable(addr, &e))?;
+    Ok(tx)
+}
+
+/// Sends one request with a small body and reads the whole answer, within `limit`.
+///
+/// # Errors
+///
+/// Tells whether the request may have taken effect; see [`Error::is_unsettled`].
+pub async fn call(
+    pool: &Pool,
+    step: &'static str,
+    addr: SocketAddr,
+    req: Request<Body>,
+    limit: Duration,
+) -> Result<(hyper::StatusCode, hyper::HeaderMap, bytes::Bytes)> {
+    let peer = addr.to_string();
+    let exchange = async {
+        let mut lease = pool.lease(addr).await?;
+        let res = lease.send(&peer, req).await.map_err(|f| f.error)?;
+        let (head, body) = res.into_parts();
+        let bytes = crate::http::read_body(step, &peer, body, MAX_CALL_BYTES).await?;
+        lease.reuse();
+        Ok((head.status, head.headers, bytes))
+    };
+    let timed_out = |_| {
+        let ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
+        Error::new(step, peer.clone(), Cause::TimedOut(ms))
+    };
+    tokio::time::timeout(limit, exchange).await.map_err(timed_out)?
+}
--- /dev/null
+++ b/src/proxy.rs
@@ -0,0 +1,461 @@
+//! The path of one request: route, key, owner, admission, attempt, answer.
+
+use crate::{
+    attempt::{self, Attempt, Failure, Target},
+    body::{Guarded, RequestBody},
+    clock::{Millis, boot_millis},
+    http::{self, Body},
+    instance::Instance,
+    intents::{self, Claim, Held, Intent, KeptAnswer},
+    outcome::{Outcome, Progress, Reason, may_repeat},
+    registry::{ServiceView, Snapshot},
+    resource::{Class, Route, Upstream, UpstreamState},
+    route, wire,
+};
+use http_body_util::BodyExt;
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+    http::request::Parts,
+};
+use rand::Rng;
+use std::{sync::Arc, time::Duration, time::Instant};
+
+/// Time in milliseconds for which a request waits for a key to be served again.
+const RECOVERY_WAIT_MS: Millis = 5_000;
+const RETRY_PAUSE_MIN_MS: Millis = 10;
+const RETRY_PAUSE_MAX_MS: Millis = 200;
+const LONG_BODY_BYTES: u64 = 1 << 20;
+const KEY_MAX_BYTES: usize = 256;
+
+/// What is known of a request while it is served.
+#[derive(Debug, Clone)]
+pub(crate) struct RequestContext {
+    pub id: Arc<str>,
+    pub route: Arc<Route>,
+    pub service: Arc<ServiceView>,
+    pub class: Class,
+    pub idempotent: bool,
+    /// Key, for services that own keys.
+    pub key: Option<Arc<str>>,
+    /// Slot of the key in the latest row that an attempt used.
+    pub slot: Option<u32>,
+    /// When its time runs out, on the boot clock.
+    pub deadline: Millis,
+    /// Whether another instance forwarded it here.
+    pub forwarded: bool,
+    pub started: Instant,
+    pub attempts: u32,
+    /// Whether an earlier attempt may have run.
+    pub may_have_run: bool,
+    /// Where the last attempt went, and under which epoch.
+    pub upstream: Arc<str>,
+    pub epoch: Option<u64>,
+}
+
+/// Serves one request.
+pub(crate) async fn handle(instance: Arc<Instance>, req: Request<Incoming>) -> Response<Body> {
+    let started = Instant::now();
+    let (head, body) = req.into_parts();
+    let id = request_id(&head);
+    let snapshot = instance.registry.current();
+    let mut cx = match prepare(&instance, &snapshot, &head, &id, started) {
+        Ok(cx) => cx,
+        Err(reason) => {
+            let failure = Failure::new(reason, Outcome::NotRun);
+            log::info!(request = &*id, reason = reason.as_str(), path = head.uri.path(); "refused");
+            metrics::counter!("mulberryspur_unrouted_total", "reason" => reason.as_str())
+                .increment(1);
+            return refusal(&id, &failure);
+        }
+    };
+    instance.upstreams.on_request(&cx.service.service.name);
+    let result = serve(&instance, &mut cx, head, body).await;
+    match result {
+        Ok(res) => res,
+        Err(mut failure) => {
+            if cx.may_have_run {
+                failure.outcome = Outcome::Unknown;
+            }
+            finish(&instance, &cx, failure.outcome, failure.reason.as_str(), 0);
+            refusal(&cx.id, &failure)
+        }
+    }
+}
+
+fn request_id(head: &Parts) -> Arc<str> {
+    let given = head.headers.get(wire::REQUEST_ID).and_then(|v| v.to_str().ok());
+    match given {
+        Some(id) if !id.is_empty() && id.len() <= KEY_MAX_BYTES => id.into(),
+        _ => format!("{:016x}", rand::random::<u64>()).into(),
+    }
+}
+
+/// Finds route, service, key and limits of a request.
+fn prepare(
+    instance: &Instance,
+    snapshot: &Snapshot,
+    head: &Parts,
+    id: &Arc<str>,
+    started: Instant,
+) -> Result<RequestContext, Reason> {
+    let route = snapshot.routes.find(head).ok_or(Reason::NoRoute)?.clone();
+    let service = snapshot.service(&route.service).ok_or(Reason::NoRoute)?.clone();
+    let key = match (&service.ownership, &route.key) {
+        (Some(_), Some(source)) => Some(route::key_of(source, head).ok_or(Reason::NoKey)?),
+        (Some(_), None) => return Err(Reason::NoKey),
+        (None, _) => None,
+    };
+    let forwarded = is_forwarded(instance, head);
+    let limit = service.service.timeout_ms;
+    let asked = match head.headers.get(wire::DEADLINE) {
+        Some(v) => v.to_str().ok().and_then(|v| v.parse().ok()).ok_or(Reason::Malformed)?,
+        None => limit,
+    };
+    let length = head.headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
+    let large = length.is_some_and(|n: u64| n >= LONG_BODY_BYTES);
+    Ok(RequestContext {
+        id: id.clone(),
+        idempotent: route::is_idempotent(&route, &head.method),
+        class: if large { Class::Long } else { route.class },
+        key: key.map(Into::into),
+        slot: None,
+        deadline: boot_millis() + asked.min(limit),
+        forwarded,
+        started,
+        attempts: 0,
+        may_have_run: false,
+        upstream: "".into(),
+        epoch: None,
+        route,
+        service,
+    })
+}
+
+/// Returns whether another instance forwarded the request, which it proves by the secret.
+fn is_forwarded(instance: &Instance, head: &Parts) -> bool {
+    let given = head.headers.get(wire::HOP);
+    given.is_some_and(|v| instance.cfg.secret.matches(v.as_bytes()))
+}
+
+/// Serves a request whose route is known.
+async fn serve(
+    instance: &Arc<Instance>,
+    cx: &mut RequestContext,
+    head: Parts,
+    body: Incoming,
+) -> Result<Response<Body>, Failure> {
+    let limit = instance.cfg.limits.replay_bytes;
+    let mut body = RequestBody::read(body, limit).await.map_err(|_| not_run(Reason::Malformed))?;
+    if let Some(to) = elsewhere(instance, cx) {
+        return forward(instance, cx, &head, &mut body, &to).await;
+    }
+    if !cx.idempotent && instance.record.is_full() {
+        return Err(not_run(Reason::NoStore).after(1_000));
+    }
+    let key = head.headers.get(wire::IDEMPOTENCY_KEY).filter(|_| !cx.idempotent).cloned();
+    match key {
+        Some(key) => once(instance, cx, &head, body, &key).await,
+        None => answer(instance, cx, &head, &mut body).await,
+    }
+}
+
+fn not_run(reason: Reason) -> Failure {
+    Failure::new(reason, Outcome::NotRun)
+}
+
+/// Serves a request with an idempotency key: at most once, repeats from the first answer.
+async fn once(
+    instance: &Arc<Instance>,
+    cx: &mut RequestContext,
+    head: &Parts,
+    mut body: RequestBody,
+    key: &HeaderValue,
+) -> Result<Response<Body>, Failure> {
+    let key = key.to_str().ok().filter(|k| !k.is_empty() && k.len() <= KEY_MAX_BYTES);
+    let key = key.ok_or_else(|| not_run(Reason::Malformed))?;
+    let bytes = body.bytes().ok_or_else(|| not_run(Reason::Malformed))?;
+    let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
+    let print = intents::fingerprint(head.method.as_str(), path, &bytes);
+    let row = intents::row_key(&cx.service.service.name, key);
+    let claim = instance.intents.claim(row, print).await;
+    instance.note_platform(claim.is_ok());
+    let mine = match claim {
+        Ok(Claim::New(mine)) => mine,
+        Ok(Claim::Used(intent)) => return replay(instance, cx, &intent, print),
+        Err(e) => {
+            log::warn!(request = &*cx.id; "{e}");
+            return Err(not_run(Reason::NoStore).after(1_000));
+        }
+    };
+    match answer(instance, cx, head, &mut body).await {
+        Ok(res) => Ok(keep(instance, mine, res).await),
+        Err(failure) => {
+            let proved = failure.outcome == Outcome::NotRun && !cx.may_have_run;
+            if proved && let Err(e) = mine.release(&instance.platform).await {
+                log::warn!(request = &*cx.id; "{e}");
+            }
+            Err(failure)
+        }
+    }
+}
+
+fn replay(
+    instance: &Instance,
+    cx: &RequestContext,
+    intent: &Intent,
+    print: u64,
+) -> Result<Response<Body>, Failure> {
+    if intent.fingerprint != print {
+        return Err(not_run(Reason::KeyReused));
+    }
+    let Some(kept) = &intent.answer else {
+        return Err(Failure::new(Reason::Repeat, Outcome::Unknown).after(1_000));
+    };
+    let Some(body) = kept.body() else {
+        return Err(Failure::new(Reason::Repeat, Outcome::Ran));
+    };
+    let status = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::OK);
+    let mut res = http::answer(status, body);
+    let content_type = kept.content_type.as_ref().and_then(|t| t.parse().ok());
+    if let Some(value) = content_type {
+        res.headers_mut().insert(CONTENT_TYPE, value);
+    }
+    mark(&mut res, &cx.id, Outcome::Ran);
+    res.headers_mut().insert(wire::REPLAYED, HeaderValue::from_static("true"));
+    finish(instance, cx, Outcome::Ran, "replayed", 0);
+    Ok(res)
+}
+
+/// Keeps a short answer for repeats, then passes it on.
+async fn keep(instance: &Arc<Instance>, mine: Held, res: Response<Body>) -> Response<Body> {
+    let (head, body) = res.into_parts();
+    let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
+    let content_type = text(CONTENT_TYPE).map(str::to_owned);
+    let length: Option<usize> = text(CONTENT_LENGTH).and_then(|v| v.parse().ok());
+    let status = head.status.as_u16();
+    let instance = instance.clone();
+    if length.is_some_and(|n| n <= intents::KEPT_BODY_BYTES) {
+        let Ok(bytes) = body.collect().await.map(http_body_util::Collected::to_bytes) else {
+            // The caller sees a broken answer too; repeats are told that the result is unknown.
+            let broken = futures::stream::iter([Err::<hyper::body::Frame<_>, _>("broken".into())]);
+            let body = http_body_util::StreamBody::new(broken).boxed_unsync();
+            return Response::from_parts(head, body);
+        };
+        let kept = KeptAnswer::new(status, content_type, Some(&bytes));
+        complete(&instance, mine, kept).await;
+        return Response::from_parts(head, http::full(bytes));
+    }
+    tokio::spawn(async move {
+        complete(&instance, mine, KeptAnswer::new(status, content_type, None)).await;
+    });
+    Response::from_parts(head, body)
+}
+
+async fn complete(instance: &Instance, mine: Held, kept: KeptAnswer) {
+    if let Err(e) = mine.complete(&instance.platform, kept).await {
+        log::warn!("{e}");
+    }
+}
+
+/// Where a request that cannot be served by this instance should go.
+#[derive(Debug)]
+enum Elsewhere {
+    /// To an instance of another data centre.
+    DataCenter(Arc<str>),
+    /// To an instance of this data centre that has a share of the owner's long work.
+    LongShare(Arc<str>),
+}
+
+fn elsewhere(instance: &Instance, cx: &RequestContext) -> Option<Elsewhere> {
+    let own = &instance.cfg.data_center;
+    let home = if let (Some(key), Some(ownership)) = (&cx.key, &cx.service.ownership) {
+        ownership.home_of(key).clone()
+    } else {
+        let takes = |u: &&Arc<Upstream>| u.state == UpstreamState::Active;
+        let local = cx.service.upstreams_in(own).find(takes);
+        let other = || cx.service.upstreams.iter().find(takes);
+        local.or_else(other)?.data_center.clone()
+    };
+    if home != *own {
+        return Some(Elsewhere::DataCenter(home));
+    }
+    if cx.forwarded || cx.class == Class::Short {
+        return None;
+    }
+    let owner = attempt::owner(instance, cx)?;
+    let (at, instances) = instance.position();
+    let limits = crate::upstreams::limits(&cx.service.service, &owner, at, instances);
+    (limits.long == 0).then_some(Elsewhere::LongShare(owner))
+}
+
+/// Sends a request through another instance.
+async fn forward(
+    instance: &Arc<Instance>,
+    cx: &mut RequestContext,
+    head: &Parts,
+    body: &mut RequestBody,
+    to: &Elsewhere,
+) -> Result<Response<Body>, Failure> {
+    if cx.forwarded {
+        return Err(not_run(Reason::Loop));
+    }
+    let mut peers = match to {
+        Elsewhere::DataCenter(dc) => attempt::peers_in(instance, dc),
+        Elsewhere::LongShare(owner) => attempt::peers_with_long_share(instance, cx, owner),
+    };
+    let mut failure = not_run(Reason::NoPath).after(1_000);
+    while let Some(peer) = take_random(&mut peers) {
+        cx.attempts += 1;
+        cx.upstream = peer.name.clone();
+        let target = Target::peer(peer.name.clone(), peer.listen, instance.cfg.secret.expose());
+        match attempt::send(instance, cx, head, body, target, None).await {
+            Ok(attempt) => return Ok(pass_on(instance, cx, attempt)),
+            Err(f) => {
+                let repeat = may_repeat(f.progress, cx.idempotent) && body.can_repeat();
+                failure = f;
+                if !repeat {
+                    break;
+                }
+            }
+        }
+    }
+    Err(failure)
+}
+
+fn take_random<T>(items: &mut Vec<T>) -> Option<T> {
+    if items.is_empty() {
+        return None;
+    }
+    let n = rand::rng().random_range(0..items.len());
+    Some(items.swap_remove(n))
+}
+
+/// Serves a request from an upstream of this data centre.
+async fn answer(
+    instance: &Arc<Instance>,
+    cx: &mut RequestContext,
+    head: &Parts,
+    body: &mut RequestBody,
+) -> Result<Response<Body>, Failure> {
+    let give_up = cx.deadline.min(boot_millis() + RECOVERY_WAIT_MS);
+    let mut maps = instance.maps.subscribe();
+    let mut pause = RETRY_PAUSE_MIN_MS;
+    let mut failed: Vec<Arc<str>> = Vec::new();
+    loop {
+        maps.mark_unchanged();
+        let failure = match attempt::try_once(instance, cx, head, body, &failed).await {
+            Ok(attempt) => return Ok(pass_on(instance, cx, attempt)),
+            Err(f) => f,
+        };
+        let repeat = may_repeat(failure.progress, cx.idempotent) && body.can_repeat();
+        let now = boot_millis();
+        if !repeat || !failure.passing || now >= give_up {
+            return Err(failure);
+        }
+        if failure.progress == Progress::Sent || cx.key.is_none() {
+            if !instance.upstreams.may_retry(&cx.service.service.name) {
+                return Err(failure);
+            }
+            failed.push(cx.upstream.clone());
+        }
+        if cx.key.is_some() {
+            let wait = rand::rng().random_range(pause / 2..=pause).min(give_up - now);
+            let _ = tokio::time::timeout(Duration::from_millis(wait), maps.changed()).await;
+            pause = (pause * 2).min(RETRY_PAUSE_MAX_MS);
+        }
+    }
+}
+
+/// Turns an attempt's answer into the caller's.
+fn pass_on(instance: &Arc<Instance>, cx: &RequestContext, attempt: Attempt) -> Response<Body> {
+    let Attempt { res, lease, place, outcome, route_lease } = attempt;
+    let (mut head, body) = res.into_parts();
+    attempt::strip_hop_headers(&mut head.headers);
+    head.headers.remove(wire::LOAD);
+    head.headers.remove(wire::REFUSED);
+    let (instance, cx2) = (instance.clone(), cx.clone());
+    let status = head.status;
+    let on_end = move |bytes: u64, complete: bool| {
+        drop(place);
+        drop(route_lease);
+        let state = if complete { status.as_str() } else { "cut" };
+        finish(&instance, &cx2, outcome, state, bytes);
+    };
+    let body = Guarded::new(body, lease, on_end).boxed_unsync();
+    let mut res = Response::from_parts(head, body);
+    mark(&mut res, &cx.id, outcome);
+    res
+}
+
+fn mark(res: &mut Response<Body>, id: &str, outcome: Outcome) {
+    let headers = res.headers_mut();
+    headers.insert(wire::OUTCOME, HeaderValue::from_static(outcome.as_str()));
+    if let Ok(value) = HeaderValue::from_str(id) {
+        headers.insert(wire::REQUEST_ID, value);
+    }
+}
+
+/// Builds the answer to a request that was not served.
+fn refusal(id: &str, failure: &Failure) -> Response<Body> {
+    let reason = failure.reason.as_str();
+    let outcome = failure.outcome.as_str();
+    let text = format!("{{\"reason\":\"{reason}\",\"outcome\":\"{outcome}\"}}\n");
+    let mut res = http::answer(failure.reason.status(), text);
+    mark(&mut res, id, failure.outcome);
+    let headers = res.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(wire::REASON, HeaderValue::from_static(reason));
+    if let Some(ms) = failure.retry_after {
+        headers.insert(RETRY_AFTER, ms.div_ceil(1_000).max(1).into());
+    }
+    res
+}
+
+/// Logs, counts and records a request that has ended.
+fn finish(instance: &Instance, cx: &RequestContext, outcome: Outcome, result: &str, bytes: u64) {
+    let took = cx.started.elapsed();
+    #[expect(clippy::cast_precision_loss, reason = "for people")]
+    let ms = took.as_micros() as f64 / 1_000.0;
+    let service = &cx.service.service;
+    log::info!(
+        request = &*cx.id, route = &*cx.route.name, slot = cx.slot, upstream = &*cx.upstream,
+        epoch = cx.epoch, outcome = outcome.as_str(), result, attempts = cx.attempts, ms, bytes;
+        "request"
+    );
+    let labels = [("service", service.name.to_string()), ("result", result.to_owned())];
+    metrics::counter!("mulberryspur_requests_total", &labels).increment(1);
+    let service_label = [("service", service.name.to_string())];
+    metrics::histogram!("mulberryspur_request_seconds", &service_label).record(took.as_secs_f64());
+    let failed = result.starts_with('5') || result == "cut" || is_fault(result);
+    let slow = ms > Duration::from_millis(service.objective.latency_ms).as_secs_f64() * 1_000.0;
+    if !cx.forwarded {
+        instance.count(&service.name, failed, slow);
+    }
+    if !cx.idempotent {
+        instance.record.note(
+            "request",
+            serde_json::json!({
+                "id": &*cx.id, "service": &*service.name, "slot": cx.slot, "epoch": cx.epoch,
+                "upstream": &*cx.upstream, "outcome": outcome.as_str(), "result": result,
+                "attempts": cx.attempts,
+            }),
+        );
+    }
+}
+
+/// Returns whether a reason given to the caller is a fault of the service, not of the caller.
+fn is_fault(result: &str) -> bool {
+    let faults = [
+        Reason::NoOwner,
+        Reason::NoUpstream,
+        Reason::NoPath,
+        Reason::Overload,
+        Reason::Deadline,
+        Reason::Broken,
+        Reason::Refused,
+        Reason::NoStore,
+    ];
+    faults.iter().any(|r| r.as_str() == result)
+}
--- /dev/null
+++ b/src/registry.rs
@@ -0,0 +1,283 @@
+//! The configuration in force: a checked set of resources that only ever moves forward.
+
+use crate::{
+    collections::HashMap,
+    error::{Error, Result},
+    peer::{ConfigWire, VersionedResource},
+    resource::{self, Ownership, Resource, Service, Upstream},
+    route::RouteTable,
+};
+use arc_swap::ArcSwap;
+use serde::{Deserialize, Serialize};
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::sync::watch;
+
+/// One configuration revision, indexed for use.
+#[derive(Debug, Default)]
+pub struct Snapshot {
+    /// Number of the revision, 0 for none.
+    pub revision: u64,
+    /// All resources.
+    pub resources: Vec<VersionedResource>,
+    /// Routes in order of precedence.
+    pub routes: RouteTable,
+    services: HashMap<Arc<str>, Arc<ServiceView>>,
+}
+
+/// A service with what belongs to it.
+#[derive(Debug)]
+pub struct ServiceView {
+    /// The service.
+    pub service: Service,
+    /// Its upstreams, sorted by name.
+    pub upstreams: Vec<Arc<Upstream>>,
+    /// How its keys are owned, if they are.
+    pub ownership: Option<Ownership>,
+}
+
+impl ServiceView {
+    /// Returns an upstream by name.
+    #[must_use]
+    pub fn upstream(&self, name: &str) -> Option<&Arc<Upstream>> {
+        self.upstreams.iter().find(|u| &*u.name == name)
+    }
+
+    /// Returns the upstreams in a data centre.
+    pub fn upstreams_in<'a>(&'a self, dc: &'a str) -> impl Iterator<Item = &'a Arc<Upstream>> {
+        self.upstreams.iter().filter(move |u| &*u.data_center == dc)
+    }
+}
+
+impl Snapshot {
+    /// Checks and indexes a set of resources.
+    ///
+    /// # Errors
+    ///
+    /// Names the resource and field that is not accepted.
+    pub fn new(revision: u64, resources: Vec<VersionedResource>) -> Result<Self> {
+        let plain: Vec<Resource> = resources.iter().map(|r| r.resource.clone()).collect();
+        resource::check_all(&plain)?;
+        let routes = RouteTable::new(&plain);
+        let services = plain.iter().filter_map(|r| match r {
+            Resource::Service(s) => Some((s.name.clone(), Arc::new(view(s, &plain)))),
+            _ => None,
+        });
+        Ok(Self { revision, routes, services: services.collect(), resources })
+    }
+
+    /// Returns a service.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Arc<ServiceView>> {
+        self.services.get(name)
+    }
+
+    /// Returns all services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceView>> {
+        self.services.values()
+    }
+
+    /// Returns a resource by `Kind/name`.
+    #[must_use]
+    pub fn find(&self, id: &str) -> Option<&VersionedResource> {
+        self.resources.iter().find(|r| r.resource.id() == id)
+    }
+}
+
+fn view(service: &Service, all: &[Resource]) -> ServiceView {
+    let mut upstreams: Vec<Arc<Upstream>> = all
+        .iter()
+        .filter_map(|r| match r {
+            Resource::Upstream(u) if u.service == service.name => Some(Arc::new(u.clone())),
+            _ => None,
+        })
+        .collect();
+    upstreams.sort_by(|a, b| a.name.cmp(&b.name));
+    let ownership = all.iter().find_map(|r| match r {
+        Resource::Ownership(o) if o.service == service.name => Some(o.clone()),
+        _ => None,
+    });
+    ServiceView { service: service.clone(), upstreams, ownership }
+}
+
+/// A change of resources: all of it is made, or none.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Change {
+    /// Resources to create or replace.
+    pub apply: Vec<ApplyItem>,
+    /// Resources to remove.
+    pub delete: Vec<DeleteItem>,
+}
+
+/// A resource to create or replace.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ApplyItem {
+    /// Version that the resource must have: 0 if it must not exist, any if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub expect: Option<u64>,
+    /// The resource.
+    pub resource: Resource,
+}
+
+/// A resource to remove.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DeleteItem {
+    /// Version that the resource must have, any if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub expect: Option<u64>,
+    /// `Kind/name`.
+    pub id: String,
+}
+
+/// Why a change was not made.
+#[derive(Debug)]
+pub enum ChangeError {
+    /// A resource has another version than expected.
+    Conflict {
+        /// `Kind/name`.
+        id: String,
+        /// Its version, 0 if it does not exist.
+        current: u64,
+    },
+    /// The result would not be accepted.
+    Invalid(Error),
+}
+
+/// The row that keeps the configuration in the platform's table.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct StoredConfig {
+    /// Number of the revision.
+    pub revision: u64,
+    /// Unique number of the write that made it.
+    pub write_id: u64,
+    /// All resources.
+    pub resources: Vec<VersionedResource>,
+}
+
+impl StoredConfig {
+    /// Returns the next revision with `change` made.
+    ///
+    /// # Errors
+    ///
+    /// Tells of a conflict, or of the resource and field that is not accepted.
+    pub fn with_change(&self, change: &Change, write_id: u64) -> Result<Self, ChangeError> {
+        let revision = self.revision + 1;
+        let mut resources = self.resources.clone();
+        for item in &change.delete {
+            let at = find(&resources, &item.id);
+            expect(&resources, at, &item.id, item.expect)?;
+            if let Some(n) = at {
+                resource::check_delete(&resources[n].resource).map_err(ChangeError::Invalid)?;
+                resources.remove(n);
+            }
+        }
+        for item in &change.apply {
+            let id = item.resource.id();
+            let at = find(&resources, &id);
+            expect(&resources, at, &id, item.expect)?;
+            let new = VersionedResource { version: revision, resource: item.resource.clone() };
+            match at {
+                Some(n) if resources[n].resource == new.resource => {}
+                Some(n) => {
+                    resource::check_change(&resources[n].resource, &new.resource)
+                        .map_err(ChangeError::Invalid)?;
+                    resources[n] = new;
+                }
+                None => resources.push(new),
+            }
+        }
+        resources.sort_by_cached_key(|r| r.resource.id());
+        Snapshot::new(revision, resources.clone()).map_err(ChangeError::Invalid)?;
+        Ok(Self { revision, write_id, resources })
+    }
+}
+
+fn find(resources: &[VersionedResource], id: &str) -> Option<usize> {
+    resources.iter().position(|r| r.resource.id() == id)
+}
+
+fn expect(
+    resources: &[VersionedResource],
+    at: Option<usize>,
+    id: &str,
+    expected: Option<u64>,
+) -> Result<(), ChangeError> {
+    let current = at.map_or(0, |n| resources[n].version);
+    if expected.is_some_and(|v| v != current) {
+        return Err(ChangeError::Conflict { id: id.to_owned(), current });
+    }
+    Ok(())
+}
+
+/// What became of an offered configuration.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// It is in force.
+    Installed,
+    /// It is not later than the one in force, which stays.
+    NotLater,
+    /// It is not acceptable; the one in force stays.
+    Refused(String),
+}
+
+/// Holds the configuration in force.
+#[derive(Debug)]
+pub struct Registry {
+    current: ArcSwap<Snapshot>,
+    changing: Mutex<()>,
+    changed: watch::Sender<u64>,
+}
+
+impl Default for Registry {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Registry {
+    /// Creates a registry with an empty configuration at revision 0.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            current: ArcSwap::default(),
+            changing: Mutex::default(),
+            changed: watch::Sender::new(0),
+        }
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn current(&self) -> Arc<Snapshot> {
+        self.current.load_full()
+    }
+
+    /// Returns a receiver that sees each new revision number.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Puts a configuration in force if it is later than the present one and acceptable.
+    pub fn offer(&self, revision: u64, resources: Vec<VersionedResource>) -> Offer {
+        let _changing = self.changing.lock().unwrap_or_else(PoisonError::into_inner);
+        if revision <= self.current.load().revision {
+            return Offer::NotLater;
+        }
+        match Snapshot::new(revision, resources) {
+            Ok(snapshot) => {
+                self.current.store(Arc::new(snapshot));
+                self.changed.send_replace(revision);
+                Offer::Installed
+            }
+            Err(e) => Offer::Refused(e.to_string()),
+        }
+    }
+
+    /// Returns the configuration in force for a peer that has revision `since`.
+    pub(crate) fn wire_since(&self, since: u64) -> Option<ConfigWire> {
+        let current = self.current();
+        (current.revision > since).then(|| ConfigWire::from(&*current))
+    }
+}
--- /dev/null
+++ b/src/slot.rs
@@ -0,0 +1,42 @@
+//! Mapping of keys to slots.
+//!
+//! The mapping is part of the contract between versions: XXH3 with a fixed seed over
+//! `service NUL key`. The test vectors in `tests/slot.rs` must never change.
+
+use std::sync::Arc;
+
+const HASH_SEED: u64 = 0x6d75_6c62;
+
+/// Number of a slot within a service.
+pub type SlotId = u32;
+
+/// Fencing number of a slot; grows by one with every change of owner.
+pub type Epoch = u64;
+
+/// Fencing number of a cell's controller; grows by one with every takeover.
+pub type Term = u64;
+
+/// Returns the hashed slot of a key among `slots`, at least one.
+#[must_use]
+pub fn hashed_slot(service: &str, key: &str, slots: u32) -> SlotId {
+    let slot = key_hash(service, key) % u64::from(slots.max(1));
+    u32::try_from(slot).unwrap_or(0)
+}
+
+/// Returns the slot of a key: its own if it is pinned, else the hashed one.
+#[must_use]
+pub fn slot_of(service: &str, key: &str, slots: u32, pins: &[Arc<str>]) -> SlotId {
+    let pinned = pins.iter().position(|p| !p.is_empty() && &**p == key);
+    let own = pinned.and_then(|n| u32::try_from(n).ok()).map(|n| slots + n);
+    own.unwrap_or_else(|| hashed_slot(service, key, slots))
+}
+
+/// Hashes a key of a service, portably.
+#[must_use]
+pub fn key_hash(service: &str, key: &str) -> u64 {
+    let mut h = xxhash_rust::xxh3::Xxh3::with_seed(HASH_SEED);
+    h.update(service.as_bytes());
+    h.update(&[0]);
+    h.update(key.as_bytes());
+    h.digest()
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,418 @@
+//! Real processes for tests: platform stand-in, upstream stand-ins, daemons, load and a checker.
+
+#![allow(dead_code)]
+
+pub mod checker;
+pub mod load;
+
+use hyper::{HeaderMap, Method, Request, StatusCode};
+use mulberryspur::{
+    admin::Status,
+    http,
+    pool::{self, Pool},
+};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use std::{
+    fs::File,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+pub const SECRET: &str = "test-secret";
+const START_LIMIT: Duration = Duration::from_secs(20);
+const CALL_LIMIT: Duration = Duration::from_secs(15);
+
+/// A child process that is killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    pub name: String,
+    child: Child,
+    log: PathBuf,
+}
+
+impl Process {
+    fn start(name: &str, program: &str, args: &[String], dir: &Path) -> Self {
+        let log = dir.join(format!("{name}.log"));
+        let out = File::create(&log).expect("create log");
+        let err = out.try_clone().expect("clone log");
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(out)
+            .stderr(err)
+            .spawn()
+            .expect("start process");
+        Self { name: name.to_owned(), child, log }
+    }
+
+    fn find_in_log<T>(&self, f: impl Fn(&str) -> Option<T>) -> T {
+        let start = Instant::now();
+        loop {
+            let text = std::fs::read_to_string(&self.log).unwrap_or_default();
+            if let Some(found) = text.lines().find_map(&f) {
+                return found;
+            }
+            assert!(start.elapsed() < START_LIMIT, "{} did not start: {text}", self.name);
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw).expect("pid");
+        let _ = kill_process(pid, signal);
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Asks the process to stop and returns its exit code.
+    pub fn terminate(&mut self) -> Option<i32> {
+        self.signal(Signal::TERM);
+        self.child.wait().expect("wait").code()
+    }
+
+    pub fn log_text(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+#[derive(Debug)]
+pub struct UpstreamProcess {
+    pub process: Process,
+    pub addr: SocketAddr,
+    pub service: String,
+    pub data_center: String,
+}
+
+#[derive(Debug)]
+pub struct Entry {
+    pub process: Process,
+    pub listen: SocketAddr,
+    pub admin: SocketAddr,
+    pub peer: SocketAddr,
+}
+
+/// What to start.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    pub entries: Vec<&'static str>,
+    pub keyed: Vec<&'static str>,
+    pub unkeyed: usize,
+    pub slots: u32,
+    pub fenced: bool,
+    pub settings: Value,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            entries: vec!["dc-1"; 3],
+            keyed: vec!["dc-1"; 3],
+            unkeyed: 2,
+            slots: 32,
+            fenced: true,
+            settings: json!({}),
+        }
+    }
+}
+
+/// A running set of processes.
+#[derive(Debug)]
+pub struct Cluster {
+    pub dir: PathBuf,
+    pub platform: Process,
+    pub platform_addr: SocketAddr,
+    pub upstreams: Vec<UpstreamProcess>,
+    pub entries: Vec<Entry>,
+    pub pool: Pool,
+    plan: Plan,
+}
+
+fn standin(name: &str, args: &[&str], dir: &Path) -> (Process, SocketAddr) {
+    let args: Vec<String> = args.iter().map(|a| (*a).to_owned()).collect();
+    let process = Process::start(name, env!("CARGO_BIN_EXE_mulberry-standin"), &args, dir);
+    let addr = process.find_in_log(|l| l.strip_prefix("listening on ")?.parse().ok());
+    (process, addr)
+}
+
+impl Cluster {
+    /// Starts everything and waits until keys are served.
+    pub async fn start(name: &str, plan: Plan) -> Self {
+        let mut this = Self::start_without_config(name, plan).await;
+        this.configure().await;
+        this.wait_until_served(Duration::from_secs(15)).await;
+        this
+    }
+
+    pub async fn start_without_config(name: &str, plan: Plan) -> Self {
+        let unique = format!("mulberryspur-{name}-{}", std::process::id());
+        let dir = std::env::temp_dir().join(unique);
+        let _ = std::fs::remove_dir_all(&dir);
+        std::fs::create_dir_all(&dir).expect("create directory");
+        let (platform, platform_addr) = standin("platform", &["platform"], &dir);
+        let mut this = Self {
+            dir,
+            platform,
+            platform_addr,
+            upstreams: Vec::new(),
+            entries: Vec::new(),
+            pool: Pool::new(256),
+            plan: plan.clone(),
+        };
+        for (n, dc) in plan.keyed.iter().enumerate() {
+            this.add_upstream(&format!("fold-{n}"), "foldbook", dc, plan.fenced, None);
+        }
+        for n in 0..plan.unkeyed {
+            this.add_upstream(&format!("paper-{n}"), "paperdesk", "dc-1", false, None);
+        }
+        for (n, dc) in plan.entries.iter().enumerate() {
+            this.add_entry(&format!("entry-{n}"), dc);
+        }
+        this
+    }
+
+    pub fn add_upstream(
+        &mut self,
+        name: &str,
+        service: &str,
+        data_center: &str,
+        fenced: bool,
+        addr: Option<SocketAddr>,
+    ) {
+        let journal = self.dir.join(format!("{name}.journal"));
+        let listen = addr.map_or_else(|| "127.0.0.1:0".to_owned(), |a| a.to_string());
+        let mut args = vec![
+            "upstream",
+            "--name",
+            name,
+            "--listen",
+            &listen,
+            "--journal",
+            journal.to_str().unwrap(),
+        ];
+        if fenced {
+            args.push("--fenced");
+        }
+        let (process, addr) = standin(name, &args, &self.dir);
+        self.upstreams.push(UpstreamProcess {
+            process,
+            addr,
+            service: service.to_owned(),
+            data_center: data_center.to_owned(),
+        });
+    }
+
+    pub fn add_entry(&mut self, name: &str, data_center: &str) -> usize {
+        let mut settings = json!({
+            "instance": name, "data_center": data_center,
+            "rack": format!("rack-{name}"),
+            "listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "peer": "127.0.0.1:0",
+            "platform": self.platform_addr.to_string(), "secret": SECRET,
+        });
+        let extra = self.plan.settings.as_object().cloned().unwrap_or_default();
+        settings.as_object_mut().unwrap().extend(extra);
+        let file = self.dir.join(format!("{name}.json"));
+        std::fs::write(&file, settings.to_string()).expect("write settings");
+        let args = ["--settings".to_owned(), file.display().to_string()];
+        let process = Process::start(name, env!("CARGO_BIN_EXE_mulberryd"), &args, &self.dir);
+        let kvs = process.find_in_log(|l| {
+            let line: Value = serde_json::from_str(l).ok()?;
+            (line["message"] == "started").then(|| line["kvs"].clone())
+        });
+        let addr = |field: &str| kvs[field].as_str().unwrap().parse().unwrap();
+        let entry =
+            Entry { process, listen: addr("listen"), admin: addr("admin"), peer: addr("peer") };
+        self.entries.push(entry);
+        self.entries.len() - 1
+    }
+
+    /// Returns the resources for what runs.
+    pub fn resources(&self) -> Vec<Value> {
+        let mut homes = self.plan.keyed.clone();
+        homes.sort_unstable();
+        homes.dedup();
+        let mut all = vec![
+            json!({"kind": "Service", "name": "foldbook", "timeout_ms": 8000}),
+            json!({"kind": "Service", "name": "paperdesk", "timeout_ms": 8000}),
+            json!({"kind": "Route", "name": "foldbook", "service": "foldbook",
+                   "path": "/patterns", "key": {"path_segment": 1}}),
+            json!({"kind": "Route", "name": "paperdesk", "service": "paperdesk",
+                   "path": "/orders"}),
+        ];
+        if !homes.is_empty() {
+            all.push(json!({"kind": "Ownership", "service": "foldbook",
+                            "slots": self.plan.slots, "homes": homes}));
+        }
+        all.extend(self.upstreams.iter().map(|u| self.upstream_resource(u)));
+        all
+    }
+
+    fn upstream_resource(&self, u: &UpstreamProcess) -> Value {
+        let keyed = u.service == "foldbook";
+        let fencing = if keyed && !self.plan.fenced { "unchecked" } else { "checked" };
+        json!({"kind": "Upstream", "name": u.process.name, "service": u.service,
+               "address": u.addr.to_string(), "data_center": u.data_center, "fencing": fencing})
+    }
+
+    pub async fn configure(&self) {
+        let (status, body) = self.change(0, &self.resources(), None).await;
+        assert!(status.is_success(), "{status}: {body}");
+    }
+
+    /// Applies resources through one entry.
+    pub async fn change(
+        &self,
+        entry: usize,
+        resources: &[Value],
+        expect: Option<u64>,
+    ) -> (StatusCode, String) {
+        let item = |r: &Value| match expect {
+            Some(v) => json!({"expect": v, "resource": r}),
+            None => json!({"resource": r}),
+        };
+        let apply: Vec<Value> = resources.iter().map(item).collect();
+        let body = json!({ "apply": apply }).to_string();
+        self.admin(entry, Method::POST, "/v1/change", &body).await.expect("admin answers")
+    }
+
+    pub async fn admin(
+        &self,
+        entry: usize,
+        method: Method,
+        path: &str,
+        body: &str,
+    ) -> mulberryspur::Result<(StatusCode, String)> {
+        let req = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", "admin")
+            .header("authorization", format!("Bearer {SECRET}"))
+            .body(http::full(body.to_owned()))
+            .unwrap();
+        let addr = self.entries[entry].admin;
+        let (status, _, bytes) = pool::call(&self.pool, "admin", addr, req, CALL_LIMIT).await?;
+        Ok((status, String::from_utf8_lossy(&bytes).into_owned()))
+    }
+
+    pub async fn status(&self, entry: usize) -> Option<Status> {
+        let (_, body) = self.admin(entry, Method::GET, "/v1/status", "").await.ok()?;
+        serde_json::from_str(&body).ok()
+    }
+
+    /// Sends one request to an entry.
+    pub async fn request(
+        &self,
+        entry: usize,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+    ) -> mulberryspur::Result<(StatusCode, HeaderMap, String)> {
+        let listen = self.entries[entry].listen;
+        let (status, headers, bytes) =
+            send(&self.pool, listen, method, path, headers, CALL_LIMIT).await?;
+        Ok((status, headers, String::from_utf8_lossy(&bytes).into_owned()))
+    }
+
+    /// Waits until every entry serves keys.
+    pub async fn wait_until_served(&self, limit: Duration) {
+        let start = Instant::now();
+        for entry in 0..self.entries.len() {
+            for key in 0..8 {
+                let path = format!("/patterns/key-{key}");
+                loop {
+                    let res = self.request(entry, Method::GET, &path, &[]).await;
+                    if res.is_ok_and(|(status, _, _)| status.is_success()) {
+                        break;
+                    }
+                    assert!(start.elapsed() < limit, "entry {entry} does not serve {path}");
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+        }
+    }
+
+    /// Sets the platform's faults.
+    pub async fn platform_faults(&self, faults: Value) {
+        self.control(self.platform_addr, "/standin/faults", &faults).await;
+    }
+
+    pub async fn control(&self, addr: SocketAddr, path: &str, body: &Value) {
+        let req = Request::put(path)
+            .header("host", "standin")
+            .body(http::full(body.to_string()))
+            .unwrap();
+        let called = pool::call(&self.pool, "control", addr, req, CALL_LIMIT).await;
+        let (status, _, text) = called.expect("stand-in answers");
+        assert!(status.is_success(), "{status}: {text:?}");
+    }
+
+    /// Returns the index of the entry that controls the cell, and that of its first standby.
+    pub async fn controller(&self, cell: &str) -> (usize, Option<usize>) {
+        let start = Instant::now();
+        loop {
+            for entry in 0..self.entries.len() {
+                let Some(status) = self.status(entry).await else { continue };
+                let Some(c) = status.cells.iter().find(|c| c.cell == cell) else { continue };
+                let index = |name: &str| self.entries.iter().position(|e| e.process.name == name);
+                if let Some(controller) = index(&c.controller) {
+                    return (controller, c.standbys.first().and_then(|s| index(s)));
+                }
+            }
+            assert!(start.elapsed() < START_LIMIT, "no controller of {cell}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Returns the upstream that answers for a key.
+    pub async fn owner(&self, entry: usize, key: &str) -> usize {
+        let path = format!("/patterns/{key}");
+        let (_, _, body) = self.request(entry, Method::GET, &path, &[]).await.expect("answer");
+        let name = body.split(' ').next().unwrap_or_default().to_owned();
+        self.upstreams.iter().position(|u| u.process.name == name).unwrap_or_else(|| {
+            panic!("no upstream {name:?}: {body}");
+        })
+    }
+
+    /// Checks all journals together with what callers were told.
+    pub fn check(&self, answers: &[load::Answer]) {
+        let faults = checker::check(&self.dir, answers);
+        assert!(faults.is_empty(), "{faults:#?}");
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.entries.clear();
+        self.upstreams.clear();
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
+pub async fn send(
+    pool: &Pool,
+    addr: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    limit: Duration,
+) -> mulberryspur::Result<(StatusCode, HeaderMap, bytes::Bytes)> {
+    let mut req = Request::builder().method(method).uri(path).header("host", "caller");
+    for (name, value) in headers {
+        req = req.header(*name, *value);
+    }
+    let req = req.body(http::full("")).unwrap();
+    pool::call(pool, "request", addr, req, limit).await
+}
