--- /dev/null
+++ b/benches/path.rs
@@ -0,0 +1,131 @@
+//! Added latency and throughput of one daemon, against the same callers speaking straight to the
+//! upstream stand-in; memory at rest and with idle connections.
+//!
+//! `cargo bench --bench path`
+
+#![allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "figures for people"
+)]
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use hdrhistogram::Histogram;
+use hyper::Method;
+use mulberryspur::pool::Pool;
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+use support::{Cluster, Plan, load::cpu_seconds, load::resident_mb, send};
+
+const RUN: Duration = Duration::from_secs(4);
+const CALLERS: usize = 32;
+const IDLE_CONNECTIONS: usize = 1_000;
+const LIMIT: Duration = Duration::from_secs(10);
+
+struct Outcome {
+    times: Histogram<u64>,
+    per_second: f64,
+}
+
+/// Runs callers in a closed loop, or at a fixed rate if one is given.
+async fn run(addr: SocketAddr, path: &str, headers: &[(&str, &str)], rate: Option<f64>) -> Outcome {
+    let start = Instant::now();
+    let one = |n: usize| {
+        let path = path.to_owned();
+        let headers: Vec<(String, String)> =
+            headers.iter().map(|(a, b)| ((*a).to_owned(), (*b).to_owned())).collect();
+        tokio::spawn(async move {
+            let pool = Pool::new(1);
+            let mut times = Histogram::<u64>::new(3).unwrap();
+            let headers: Vec<(&str, &str)> =
+                headers.iter().map(|(a, b)| (a.as_str(), b.as_str())).collect();
+            let gap = rate.map(|r| Duration::from_secs_f64(CALLERS as f64 / r));
+            let mut next = start + gap.unwrap_or_default().mul_f64(n as f64 / CALLERS as f64);
+            while start.elapsed() < RUN {
+                // Time counts from when the request was due, so that a stall is not hidden.
+                let mut due = Instant::now();
+                if let Some(gap) = gap {
+                    tokio::time::sleep_until(next.into()).await;
+                    due = next;
+                    next += gap;
+                }
+                send(&pool, addr, Method::GET, &path, &headers, LIMIT).await.expect("answer");
+                times.record(u64::try_from(due.elapsed().as_micros()).unwrap()).unwrap();
+            }
+            times
+        })
+    };
+    let mut times = Histogram::<u64>::new(3).unwrap();
+    for task in (0..CALLERS).map(one).collect::<Vec<_>>() {
+        times.add(task.await.unwrap()).unwrap();
+    }
+    let per_second = times.len() as f64 / start.elapsed().as_secs_f64();
+    Outcome { times, per_second }
+}
+
+fn show(name: &str, o: &Outcome) {
+    let us = |q| o.times.value_at_quantile(q);
+    println!(
+        "{name:<34} {:>8.0} req/s  p50 {:>6} µs  p99 {:>6} µs  max {:>7} µs",
+        o.per_second,
+        us(0.5),
+        us(0.99),
+        o.times.max()
+    );
+}
+
+async fn measure() {
+    let settings = serde_json::json!({ "log": "warn" });
+    let plan =
+        Plan { entries: vec!["dc-1"], keyed: vec![], unkeyed: 4, settings, ..Plan::default() };
+    let cluster = Cluster::start_without_config("bench-path", plan);
+    let entry = &cluster.entries[0];
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    println!("resident at rest: {:.1} MB", resident_mb(entry.process.id()));
+    cluster.configure().await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let (direct, through) = (cluster.upstreams[0].addr, entry.listen);
+    for (name, path) in [("short", "/orders/a"), ("10 MB", "/orders/a?bytes=10000000")] {
+        show(&format!("{name}, direct, closed loop"), &run(direct, path, &[], None).await);
+        let before = cpu_seconds(entry.process.id());
+        let closed = run(through, path, &[], None).await;
+        let cpu = cpu_seconds(entry.process.id()) - before;
+        show(&format!("{name}, routed, closed loop"), &closed);
+        let requests = closed.times.len() as f64;
+        println!(
+            "  daemon: {:.0} req/s per core, {:.1} µs a request",
+            requests / cpu,
+            cpu / requests * 1e6
+        );
+        let half = closed.per_second / 2.0;
+        let base = run(direct, path, &[], Some(half)).await;
+        show(&format!("{name}, direct, half load"), &base);
+        let routed = run(through, path, &[], Some(half)).await;
+        show(&format!("{name}, routed, half load"), &routed);
+        let added =
+            |q| routed.times.value_at_quantile(q) as f64 - base.times.value_at_quantile(q) as f64;
+        println!("  added at half load: p50 {:.0} µs, p99 {:.0} µs", added(0.5), added(0.99));
+    }
+    let mut idle = Vec::new();
+    for _ in 0..IDLE_CONNECTIONS {
+        idle.push(tokio::net::TcpStream::connect(through).await.unwrap());
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    println!(
+        "resident with {} idle connections: {:.1} MB",
+        idle.len(),
+        resident_mb(entry.process.id())
+    );
+}
+
+fn main() {
+    if std::env::args().any(|a| a == "--test") {
+        return;
+    }
+    tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap().block_on(measure());
+}
--- /dev/null
+++ b/benches/unavailable.rs
@@ -0,0 +1,131 @@
+//! Time during which a key is not served after a loss of its owner, of the controller, of both, and
+//! after a planned stop of the controller.
+//!
+//! `cargo bench --bench unavailable [-- RUNS]`
+
+#![allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "figures for people"
+)]
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use hyper::Method;
+use std::time::{Duration, Instant};
+use support::{Cluster, Plan};
+
+const RUNS: usize = 30;
+const AT_ONCE: usize = 3;
+const CELL: &str = "foldbook@dc-1";
+const WATCH: Duration = Duration::from_secs(5);
+const PROBE_PAUSE: Duration = Duration::from_millis(4);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Loss {
+    Owner,
+    Controller,
+    Both,
+    PlannedStop,
+}
+
+struct Outcome {
+    /// Longest time in milliseconds between two answers of one key.
+    gap_ms: u128,
+    failed: usize,
+    probes: usize,
+}
+
+async fn one(loss: Loss, run: usize) -> Outcome {
+    let plan = Plan { entries: vec!["dc-1"; 4], keyed: vec!["dc-1"; 4], ..Plan::default() };
+    let mut cluster = Cluster::start(&format!("bench-{loss:?}-{run}"), plan).await;
+    let (controller, _) = cluster.controller(CELL).await;
+    let survivor = (0..4).find(|n| *n != controller).unwrap();
+    let owner = cluster.owner(survivor, "key-0").await;
+    let mut keys = Vec::new();
+    for n in 0..200 {
+        let key = format!("key-{n}");
+        if keys.len() < 4 && cluster.owner(survivor, &key).await == owner {
+            keys.push(key);
+        }
+    }
+    // A loss at any point between two renewals.
+    tokio::time::sleep(Duration::from_millis(37 * run as u64 % 250)).await;
+    let listen = cluster.entries[survivor].listen;
+    let start = Instant::now();
+    let probe = |key: String| {
+        tokio::spawn(async move {
+            let pool = mulberryspur::pool::Pool::new(64);
+            let path = format!("/patterns/{key}");
+            let (mut last, mut gap, mut failed, mut probes) = (start, Duration::ZERO, 0, 0);
+            while start.elapsed() < WATCH {
+                let headers = [("x-mulberryspur-deadline-ms", "50")];
+                let limit = Duration::from_secs(1);
+                let sent = support::send(&pool, listen, Method::GET, &path, &headers, limit).await;
+                probes += 1;
+                if sent.is_ok_and(|(s, _, _)| s.is_success()) {
+                    gap = gap.max(last.elapsed());
+                    last = Instant::now();
+                } else {
+                    failed += 1;
+                }
+                tokio::time::sleep(PROBE_PAUSE).await;
+            }
+            (gap.max(last.elapsed()), failed, probes)
+        })
+    };
+    let tasks: Vec<_> = keys.into_iter().map(probe).collect();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    if matches!(loss, Loss::Controller | Loss::Both) {
+        cluster.entries[controller].process.kill();
+    }
+    if matches!(loss, Loss::Owner | Loss::Both) {
+        cluster.upstreams[owner].process.kill();
+    }
+    if loss == Loss::PlannedStop {
+        cluster.entries[controller].process.signal(rustix::process::Signal::TERM);
+    }
+    let mut outcome = Outcome { gap_ms: 0, failed: 0, probes: 0 };
+    for task in tasks {
+        let (gap, failed, probes) = task.await.unwrap();
+        outcome.gap_ms = outcome.gap_ms.max(gap.as_millis());
+        outcome.failed += failed;
+        outcome.probes += probes;
+    }
+    outcome
+}
+
+async fn measure(runs: usize) {
+    for loss in [Loss::Owner, Loss::Controller, Loss::Both, Loss::PlannedStop] {
+        let mut gaps = Vec::new();
+        let (mut failed, mut probes) = (0, 0);
+        for first in (0..runs).step_by(AT_ONCE) {
+            let batch = (first..runs.min(first + AT_ONCE)).map(|run| one(loss, run));
+            for o in futures::future::join_all(batch).await {
+                gaps.push(o.gap_ms);
+                failed += o.failed;
+                probes += o.probes;
+            }
+        }
+        gaps.sort_unstable();
+        let at = |q: f64| gaps[((gaps.len() - 1) as f64 * q).round() as usize];
+        println!(
+            "{loss:?}: n {}, median {} ms, p99 {} ms, max {} ms; {failed} of {probes} probes failed",
+            gaps.len(),
+            at(0.5),
+            at(0.99),
+            at(1.0)
+        );
+    }
+}
+
+fn main() {
+    if std::env::args().any(|a| a == "--test") {
+        return;
+    }
+    let runs = std::env::args().find_map(|a| a.parse().ok()).unwrap_or(RUNS);
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap();
+    runtime.block_on(measure(runs));
+}
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -210,6 +210,9 @@
         Ok(change) => change,
         Err(e) => return error(StatusCode::BAD_REQUEST, e.to_string()),
     };
+    if change.apply.is_empty() && change.delete.is_empty() {
+        return error(StatusCode::BAD_REQUEST, "change: accepts at least one resource");
+    }
     match make(instance, &change).await {
         Ok(revision) => http::json(StatusCode::OK, &ChangeReply { revision }),
         Err(res) => *res,
--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -90,18 +90,19 @@
 #[derive(Debug)]
 pub(crate) struct Busy {
     state: Arc<UpstreamState>,
-    _place: Place,
+    place: Option<Place>,
 }
 
 impl Busy {
-    fn new(state: Arc<UpstreamState>, place: Place) -> Self {
+    fn new(state: Arc<UpstreamState>) -> Self {
         state.load.lock().unwrap_or_else(PoisonError::into_inner).on_start();
-        Self { state, _place: place }
+        Self { state, place: None }
     }
 }
 
 impl Drop for Busy {
     fn drop(&mut self) {
+        drop(self.place.take());
         self.state.load.lock().unwrap_or_else(PoisonError::into_inner).on_end();
     }
 }
@@ -206,7 +207,7 @@
     ids.dedup();
     peers.retain(|p| {
         let at = ids.iter().position(|id| *id == p.id).unwrap_or(0);
-        p.id != instance.id && limits(&cx.service.service, upstream, at, ids.len()).long > 0
+        p.id != instance.id && limits(&cx.service, upstream, at, ids.len()).long > 0
     });
     peers
 }
@@ -228,11 +229,11 @@
     let gone = || Failure::of(Reason::NoUpstream, Progress::NotSent);
     let state = instance.upstreams.get(&target.name).ok_or_else(gone)?;
     let deadline = cx.deadline.min(target.until);
-    let place = state
-        .admit(cx.class, deadline)
-        .await
-        .map_err(|ms| Failure::new(Reason::Overload, Outcome::NotRun).after(ms))?;
-    let busy = Busy::new(state.clone(), place);
+    // Counted from here, so that requests which wait are seen by the choice among upstreams.
+    let mut busy = Busy::new(state.clone());
+    let place = state.admit(cx.class, deadline).await;
+    let overload = |ms| Failure::new(Reason::Overload, Outcome::NotRun).after(ms);
+    busy.place = Some(place.map_err(overload)?);
     cx.attempts += 1;
     let started = Instant::now();
     let result = send(instance, cx, head, body, target, Some(busy)).await;
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,7 +1,7 @@
 //! Choice among the upstreams of a service that has no keys.
 //!
 //! Each entry instance sees only its own requests. Reports of load lag and may be wrong, so they
-//! weigh less than what the instance itself has in flight, and are ignored when old.
+//! weigh less than one request that the instance itself has in flight, and are ignored when old.
 
 use crate::clock::Millis;
 use rand::Rng;
@@ -15,8 +15,11 @@
 /// Share of upstreams that may be ejected at once.
 const MAX_EJECTED_SHARE: f64 = 0.5;
 const LATENCY_WEIGHT: f64 = 0.2;
-/// Bounds on how much a latency that differs from the others changes a score.
-const LATENCY_FACTOR: (f64, f64) = (0.5, 4.0);
+/// Ratio to the typical latency from which an upstream counts as slow, and the most that counts.
+const SLOW_FROM: f64 = 2.0;
+const SLOW_TO: f64 = 4.0;
+/// Requests that a report of a full upstream counts for.
+const REPORT_WEIGHT: f64 = 0.5;
 
 /// What one entry instance knows of one upstream's load.
 #[derive(Debug, Clone)]
@@ -80,16 +83,17 @@
     }
 
     /// Returns the expected cost of sending one more request; lower is better.
+    ///
+    /// What the instance itself has in flight decides. A fresh report adds less than one request,
+    /// however large it is, so that a wrong one cannot draw or repel all work.
     fn score(&self, now: Millis, concurrency: u32, typical: f64) -> f64 {
-        let own = f64::from(self.in_flight);
         let fresh = |at: &Millis| now < at + REPORT_VALID_MS;
-        let reported = self.reported.filter(|(_, at)| fresh(at)).map_or(own, |(r, _)| r.into());
-        // A report may be wrong by any amount: it counts up to twice the concurrency.
-        let reported = reported.min(f64::from(2 * concurrency)).max(own);
-        let queue = f64::midpoint(own, reported) / f64::from(concurrency.max(1));
-        let (low, high) = LATENCY_FACTOR;
-        let latency = self.latency.map_or(1.0, |l| (l / typical.max(0.1)).clamp(low, high));
-        (queue + 1.0 / f64::from(concurrency.max(1))) * latency / self.ramp(now)
+        let reported = self.reported.filter(|(_, at)| fresh(at)).map_or(0, |(r, _)| r);
+        let full = reported >= concurrency.max(1);
+        let slow = self.latency.map_or(1.0, |l| l / typical.max(0.1));
+        let slow = if slow < SLOW_FROM { 1.0 } else { slow.min(SLOW_TO) };
+        let queue = f64::from(self.in_flight) + if full { REPORT_WEIGHT } else { 0.0 };
+        (queue + 1.0) * slow / self.ramp(now)
     }
 
     /// Returns the share of work for which a new upstream is ready.
@@ -100,7 +104,8 @@
     }
 }
 
-/// Chooses one of `loads` by the better of two at random; `None` if there is none.
+/// Chooses the one of `loads` with the lowest expected cost, at random among equals; `None` if
+/// there is none.
 ///
 /// Ejected ones are passed over, unless more than half are ejected.
 pub fn choose(
@@ -113,14 +118,21 @@
     #[expect(clippy::cast_precision_loss, reason = "small numbers")]
     let too_many = (loads.len() - healthy.len()) as f64 > MAX_EJECTED_SHARE * loads.len() as f64;
     let pool = if too_many { (0..loads.len()).collect() } else { healthy };
-    if pool.len() <= 1 {
-        return pool.first().copied();
-    }
     let typical = median(pool.iter().filter_map(|n| loads[*n].latency).collect());
-    let first = rng.random_range(0..pool.len());
-    let other = (first + rng.random_range(1..pool.len())) % pool.len();
-    let score = |n: usize| loads[pool[n]].score(now, concurrency, typical);
-    Some(if score(first) <= score(other) { pool[first] } else { pool[other] })
+    let mut best: Option<(usize, f64)> = None;
+    let mut equals = 0;
+    for n in pool {
+        let score = loads[n].score(now, concurrency, typical);
+        match best {
+            Some((_, least)) if score > least => continue,
+            Some((_, least)) if score >= least => equals += 1,
+            _ => equals = 1,
+        }
+        if equals == 1 || rng.random_range(0..equals) == 0 {
+            best = Some((n, score));
+        }
+    }
+    best.map(|(n, _)| n)
 }
 
 fn median(mut values: Vec<f64>) -> f64 {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -10,9 +10,15 @@
     tasks,
 };
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
-use std::{net::SocketAddr, sync::Arc, sync::OnceLock, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 use tokio_util::sync::CancellationToken;
 
+const LATENCY_BUCKETS_S: [f64; 11] =
+    [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 5.0];
 const UPKEEP: Duration = Duration::from_secs(5);
 /// Time between falling readiness and the listeners closing, for the balancer to notice.
 const READINESS_NOTICE: Duration = Duration::from_millis(500);
@@ -28,15 +34,16 @@
 
 /// The process has one recorder of metrics, also with several daemons in it.
 fn metrics_handle() -> Result<PrometheusHandle> {
-    static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
-    if let Some(handle) = HANDLE.get() {
+    static HANDLE: Mutex<Option<PrometheusHandle>> = Mutex::new(None);
+    let mut known = HANDLE.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(handle) = &*known {
         return Ok(handle.clone());
     }
     let installed = PrometheusBuilder::new()
-        .set_buckets(&[0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 5.0])
+        .set_buckets(&LATENCY_BUCKETS_S)
         .and_then(PrometheusBuilder::install_recorder);
     let handle = installed.map_err(|e| Error::invalid("start metrics", e.to_string()))?;
-    Ok(HANDLE.get_or_init(|| handle).clone())
+    Ok(known.insert(handle).clone())
 }
 
 impl Daemon {
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -40,13 +40,13 @@
         Self { limit, in_flight: 0, queue: VecDeque::new(), service_ms: 0.0 }
     }
 
-    /// Returns the expected wait of a request that joins the queue, in milliseconds.
-    fn expected_wait(&self) -> Millis {
+    /// Returns the expected time in milliseconds until a request that joins the queue has ended.
+    fn expected_end(&self) -> Millis {
         #[expect(clippy::cast_precision_loss, reason = "small numbers")]
         let rounds = (self.queue.len() + 1) as f64 / self.limit.max(1) as f64;
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "positive")]
-        let wait = (rounds * self.service_ms).ceil() as Millis;
-        wait
+        let end = ((rounds + 1.0) * self.service_ms).ceil() as Millis;
+        end
     }
 }
 
@@ -86,7 +86,7 @@
         (in_flight, self.short.queue.len() + self.long.queue.len())
     }
 
-    /// Asks for admission of a request that must start before `deadline`.
+    /// Asks for admission of a request that must end before `deadline`.
     pub fn enter(&mut self, now: Millis, class: Class, deadline: Millis) -> Admission {
         let max_queue = self.max_queue;
         let ticket = self.next_ticket;
@@ -95,9 +95,9 @@
             lane.in_flight += 1;
             return Admission::Go;
         }
-        let wait = lane.expected_wait();
-        if lane.limit == 0 || lane.queue.len() >= max_queue || now + wait >= deadline {
-            return Admission::Refuse { retry_after: wait.max(1) };
+        let end = lane.expected_end();
+        if lane.limit == 0 || lane.queue.len() >= max_queue || now + end >= deadline {
+            return Admission::Refuse { retry_after: end.max(1) };
         }
         // Earliest deadline first.
         let at = lane.queue.partition_point(|(_, d)| *d <= deadline);
@@ -147,14 +147,13 @@
     admitted
 }
 
-/// Returns this instance's share of the places that an upstream gives to long work.
+/// Returns instance number `instance`'s share of the places that upstream number `upstream` gives
+/// to long work.
 ///
-/// The upstream's places are dealt out to `instances` in turn, starting at a number that depends
-/// on the upstream, so that the shares of many upstreams even out.
+/// The places of all upstreams are dealt out to the instances in turn, so that every instance gets
+/// as many as any other, but for one, and of different upstreams.
 #[must_use]
-pub fn long_share(places: usize, upstream: &str, instance: usize, instances: usize) -> usize {
-    let instances = instances.max(1);
-    let start = usize::try_from(crate::slot::key_hash("long", upstream) % (1 << 32)).unwrap_or(0);
-    let position = (instance + instances - start % instances) % instances;
-    places / instances + usize::from(position < places % instances)
+pub fn long_share(places: usize, upstream: usize, instance: usize, instances: usize) -> usize {
+    let first = upstream * places;
+    (first..first + places).filter(|place| place % instances.max(1) == instance).count()
 }
--- a/src/upstreams.rs
+++ b/src/upstreams.rs
@@ -6,8 +6,8 @@
     clock::{Millis, boot_millis},
     collections::HashMap,
     gate::{Admission, Gate, Ticket, long_share},
-    registry::Snapshot,
-    resource::{Class, Service, Upstream},
+    registry::{ServiceView, Snapshot},
+    resource::{Class, Upstream},
 };
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
@@ -56,13 +56,15 @@
 }
 
 /// Returns the limits for one of `instances` instances.
-pub(crate) fn limits(service: &Service, upstream: &str, at: usize, instances: usize) -> Limits {
+pub(crate) fn limits(view: &ServiceView, upstream: &str, at: usize, instances: usize) -> Limits {
+    let service = &view.service;
     let instances = instances.max(1);
     let concurrency = service.concurrency as usize;
     let connections = (service.connections as usize / instances).max(1);
     let short = (OVERCOMMIT * concurrency).div_ceil(instances).max(MIN_SHORT).min(connections);
     let places = (concurrency / 2).max(1);
-    Limits { short, long: long_share(places, upstream, at, instances) }
+    let number = view.upstreams.iter().position(|u| &*u.name == upstream).unwrap_or(0);
+    Limits { short, long: long_share(places, number, at, instances) }
 }
 
 impl Upstreams {
@@ -89,7 +91,7 @@
     /// Sets the limits of every upstream for instance number `at` of `instances`.
     pub fn set_limits(&self, snapshot: &Snapshot, at: usize, instances: usize) {
         for service in snapshot.services() {
-            let of = |u: &Arc<Upstream>| limits(&service.service, &u.name, at, instances);
+            let of = |u: &Arc<Upstream>| limits(service, &u.name, at, instances);
             let none = service.upstreams.iter().all(|u| of(u).long == 0);
             for (n, u) in service.upstreams.iter().enumerate() {
                 let Some(state) = self.get(&u.name) else {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -123,7 +123,7 @@
     let frozen_at = Instant::now();
     cluster.entries[controller].process.signal(Signal::STOP);
     served_again(&cluster, other, frozen_at).await;
-    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
     cluster.entries[controller].process.signal(Signal::CONT);
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     let (now, _) = cluster.controller(CELL).await;
@@ -141,7 +141,7 @@
     tokio::time::sleep(Duration::from_millis(500)).await;
     let code = cluster.entries[controller].process.terminate();
     assert_eq!(code, Some(0), "exit code");
-    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
     let answers = load.stop().await;
     let failed: Vec<_> = answers.iter().filter(|a| a.status != Some(200)).collect();
     assert!(failed.is_empty(), "{failed:#?}");
--- /dev/null
+++ b/tests/fuzz_ownership.rs
@@ -0,0 +1,552 @@
+//! Stateful fuzzing of the ownership protocol: several slots, pins, instances that crash, upstreams
+//! that restart or freeze, clocks that drift, a network and a table that fail.
+//!
+//! `PROPTEST_CASES=2000 cargo test --release --test fuzz_ownership` runs longer.
+
+use mulberryspur::{
+    cell::{CellRow, InstanceId, Owner},
+    controller::{Action, Ask, Controller, Enforcer, WriteResult},
+    grant::{Grant, GrantHolder, GrantReply, Timing},
+    placement::{Demand, place},
+    slot::{SlotId, hashed_slot, slot_of},
+    standby::{Standby, StandbyAction},
+};
+use proptest::{prelude::*, sample::Index, strategy::ValueTree, test_runner::RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+const CELL: &str = "cell";
+const SERVICE: &str = "service";
+const SLOTS: u32 = 4;
+const KEYS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+const INSTANCES: usize = 3;
+const UPSTREAMS: usize = 3;
+const DRIFT_PPM: u64 = 20_000;
+const TIMING: Timing = Timing {
+    lease_ms: 1_400,
+    promise_ms: 800,
+    outage_promise_ms: 3_000,
+    renew_ms: 250,
+    drift_ppm: DRIFT_PPM,
+};
+
+/// One step of a run.
+#[derive(Debug, Clone)]
+enum Step {
+    Advance(u64),
+    /// Lets a process run and delivers what it sent, each message with its own fate.
+    Run(Index, u8),
+    Deliver(Index),
+    Drop(Index),
+    /// Delivers a write and loses its answer.
+    LoseAnswer(Index),
+    Crash(Index),
+    Restart(Index),
+    Outsider(Index),
+    HandOver(Index),
+    Pin(Index),
+    Drain(Index),
+    Platform(bool),
+}
+
+/// The reference needs no state: the invariants speak of the system alone.
+#[derive(Debug, Clone)]
+struct Reference;
+
+impl ReferenceStateMachine for Reference {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        let index = any::<Index>;
+        prop_oneof![
+            30 => (1_u64..400).prop_map(Step::Advance),
+            60 => (index(), 0_u8..10).prop_map(|(i, fate)| Step::Run(i, fate)),
+            20 => index().prop_map(Step::Deliver),
+            4 => index().prop_map(Step::Drop),
+            3 => index().prop_map(Step::LoseAnswer),
+            1 => index().prop_map(Step::Crash),
+            1 => index().prop_map(Step::Restart),
+            1 => index().prop_map(Step::Outsider),
+            1 => index().prop_map(Step::HandOver),
+            1 => index().prop_map(Step::Pin),
+            2 => index().prop_map(Step::Drain),
+            1 => any::<bool>().prop_map(Step::Platform),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+#[derive(Debug, Clone)]
+enum Msg {
+    Grant { from: InstanceId, to: Owner, grant: Grant },
+    Reply { to: InstanceId, term: u64, owner: Owner, reply: GrantReply },
+    Ask { from: InstanceId, to: InstanceId, ask: Ask },
+    Promise { from: InstanceId, to: InstanceId, ask: Ask },
+    Write { from: InstanceId, term: Option<u64>, expected: u64, row: CellRow },
+    HandOver { to: InstanceId, term: u64 },
+}
+
+/// A local clock with an offset and a rate error.
+#[derive(Debug, Clone, Copy)]
+struct Clock {
+    offset: u64,
+    /// Rate in parts per million.
+    rate: u64,
+}
+
+impl Clock {
+    fn nth(n: usize) -> Self {
+        // The greatest difference between any two rates is twice the assumed bound.
+        let rates = [1_000_000, 1_000_000 + DRIFT_PPM, 1_000_000 - DRIFT_PPM];
+        Self { offset: 7_000 * n as u64 + 1, rate: rates[n % 3] }
+    }
+
+    fn read(self, now: u64) -> u64 {
+        self.offset + now * self.rate / 1_000_000
+    }
+}
+
+#[derive(Debug)]
+struct Instance {
+    id: InstanceId,
+    clock: Clock,
+    standby: Standby,
+    controller: Option<Controller>,
+}
+
+#[derive(Debug)]
+struct Process {
+    upstream: usize,
+    clock: Clock,
+    holder: GrantHolder,
+}
+
+/// A deliberate mistake that the checks must find.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    /// A grant's limit counts from its receipt.
+    ExpiryFromReceipt,
+    /// Pins change without new epochs for the slots that keys leave.
+    PinsWithoutNewEpochs,
+}
+
+/// The system under test.
+#[derive(Debug)]
+struct System {
+    fault: Fault,
+    now: u64,
+    next_id: u64,
+    version: u64,
+    row: CellRow,
+    /// Slots and epochs under which any committed row routed a key.
+    routes: BTreeMap<&'static str, BTreeSet<(SlotId, u64)>>,
+    instances: Vec<Instance>,
+    processes: Vec<Process>,
+    drained: Option<usize>,
+    pins: Vec<Arc<str>>,
+    platform_up: bool,
+    net: Vec<Msg>,
+    max_epoch: BTreeMap<SlotId, u64>,
+}
+
+fn name(upstream: usize) -> Arc<str> {
+    format!("u{upstream}").into()
+}
+
+impl System {
+    fn new(fault: Fault) -> Self {
+        let mut this = Self {
+            fault,
+            now: 0,
+            next_id: 1,
+            version: 0,
+            row: CellRow::default(),
+            routes: BTreeMap::new(),
+            instances: Vec::new(),
+            processes: Vec::new(),
+            drained: None,
+            pins: Vec::new(),
+            platform_up: true,
+            net: Vec::new(),
+            max_epoch: BTreeMap::new(),
+        };
+        (0..INSTANCES).for_each(|n| this.add_instance(Clock::nth(n)));
+        (0..UPSTREAMS).for_each(|u| this.add_process(u));
+        this.instances[0].standby.start_as_outsider(0);
+        this
+    }
+
+    fn id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    fn add_instance(&mut self, clock: Clock) {
+        let id = self.id();
+        let standby = Standby::new(id, CELL, TIMING, Enforcer::Owners);
+        self.instances.push(Instance { id, clock, standby, controller: None });
+    }
+
+    fn add_process(&mut self, upstream: usize) {
+        let boot = self.id();
+        let clock = Clock::nth(upstream + self.processes.len());
+        self.processes.push(Process { upstream, clock, holder: GrantHolder::new(boot) });
+    }
+
+    fn latest(&self, upstream: usize) -> Owner {
+        let latest = self.processes.iter().rev().find(|p| p.upstream == upstream).unwrap();
+        Owner { upstream: name(upstream), boot: latest.holder.boot() }
+    }
+
+    fn apply(&mut self, step: &Step) {
+        match step {
+            Step::Advance(ms) => self.now += ms,
+            Step::Run(i, fate) => self.run(i.index(self.instances.len()), *fate),
+            Step::Deliver(i) => self.with_message(*i, |s, m| s.deliver(m, false)),
+            Step::Drop(i) => self.with_message(*i, |s, m| s.drop_message(&m)),
+            Step::LoseAnswer(i) => self.with_message(*i, |s, m| s.deliver(m, true)),
+            Step::Crash(i) => {
+                let n = i.index(self.instances.len());
+                let clock = self.instances.remove(n).clock;
+                self.add_instance(clock);
+            }
+            Step::Restart(i) => self.add_process(i.index(UPSTREAMS)),
+            Step::Outsider(i) => {
+                let n = i.index(self.instances.len());
+                let lost = self.row.term;
+                if self.instances[n].controller.is_none() {
+                    self.instances[n].standby.start_as_outsider(lost);
+                }
+            }
+            Step::HandOver(i) => self.hand_over(i.index(self.instances.len())),
+            Step::Pin(i) => self.pin(KEYS[i.index(KEYS.len())]),
+            Step::Drain(i) => self.drained = Some(i.index(UPSTREAMS + 1)),
+            Step::Platform(up) => self.platform_up = *up,
+        }
+    }
+
+    fn with_message(&mut self, i: Index, f: impl FnOnce(&mut Self, Msg)) {
+        if !self.net.is_empty() {
+            let msg = self.net.remove(i.index(self.net.len()));
+            f(self, msg);
+        }
+    }
+
+    fn pin(&mut self, key: &str) {
+        match self.pins.iter_mut().find(|p| &***p == key) {
+            Some(pin) => *pin = "".into(),
+            None => self.pins.push(key.into()),
+        }
+    }
+
+    fn hand_over(&mut self, n: usize) {
+        let Some(c) = self.instances[n].controller.as_mut() else { return };
+        let Some(to) = c.row().standbys.first().copied() else { return };
+        if let Some(Action::HandOver { to, term }) = c.resign(to) {
+            self.net.push(Msg::HandOver { to, term });
+        }
+    }
+
+    /// Most messages are delivered at once; the others wait in the network.
+    fn run(&mut self, n: usize, fate: u8) {
+        let before = self.net.len();
+        self.poll(n);
+        if fate < 8 {
+            // Replies to what is delivered are delivered too.
+            for _ in 0..3 {
+                for msg in self.net.split_off(before.min(self.net.len())) {
+                    self.deliver(msg, false);
+                }
+            }
+        }
+    }
+
+    fn poll(&mut self, n: usize) {
+        let now = self.instances[n].clock.read(self.now);
+        let ids: Vec<InstanceId> = self.instances.iter().map(|i| i.id).collect();
+        let me = self.instances[n].id;
+        let others: Vec<InstanceId> = ids.into_iter().filter(|id| *id != me).collect();
+        if self.instances[n].controller.as_ref().is_some_and(Controller::has_ended) {
+            self.instances[n].controller = None;
+        }
+        if self.instances[n].controller.is_some() {
+            self.poll_controller(n, now, others);
+            return;
+        }
+        let standby = &mut self.instances[n].standby;
+        standby.want_standbys(others);
+        match standby.poll(now) {
+            Some(StandbyAction::Read) if !self.platform_up => standby.on_read_failed(now),
+            Some(StandbyAction::Read) => {
+                let row = (self.version > 0).then(|| self.row.clone());
+                let found = standby.on_read(now, self.version, row);
+                self.adopt(n, found);
+            }
+            Some(StandbyAction::Write { expected, row }) => {
+                self.net.push(Msg::Write { from: me, term: None, expected, row });
+            }
+            None => {}
+        }
+    }
+
+    fn poll_controller(&mut self, n: usize, now: u64, others: Vec<InstanceId>) {
+        let live: Vec<Owner> =
+            (0..UPSTREAMS).filter(|u| Some(*u) != self.drained).map(|u| self.latest(u)).collect();
+        let pinned = u32::try_from(self.pins.len()).unwrap();
+        let slots: Vec<SlotId> = (0..SLOTS + pinned).collect();
+        let (pins, up) = (self.pins.clone(), self.platform_up);
+        let me = self.instances[n].id;
+        let c = self.instances[n].controller.as_mut().unwrap();
+        let none = BTreeMap::new();
+        let demand = Demand { slots: &slots, live: &live, pinned: &none, churn: 1 };
+        c.want(place(c.row(), &demand));
+        let mut affected = affected(&c.row().pins, &pins);
+        if self.fault == Fault::PinsWithoutNewEpochs {
+            affected.clear();
+        }
+        c.want_pins(pins, affected);
+        c.want_standbys(others);
+        c.set_platform_up(up);
+        let term = c.row().term;
+        for action in c.poll(now) {
+            match action {
+                Action::Grant { to, grant } => self.net.push(Msg::Grant { from: me, to, grant }),
+                Action::Ask { to, ask } => self.net.push(Msg::Ask { from: me, to, ask }),
+                Action::HandOver { to, term } => self.net.push(Msg::HandOver { to, term }),
+                Action::Write { expected, row } => {
+                    self.net.push(Msg::Write { from: me, term: Some(term), expected, row });
+                }
+                Action::Read => {
+                    let read = self.platform_up.then(|| (self.version, self.row.clone()));
+                    self.instances[n].controller.as_mut().unwrap().on_read(read);
+                }
+            }
+        }
+    }
+
+    fn adopt(&mut self, n: usize, controller: Option<Controller>) {
+        if controller.is_some() {
+            self.instances[n].controller = controller;
+        }
+    }
+
+    fn instance(&mut self, id: InstanceId) -> Option<usize> {
+        self.instances.iter().position(|i| i.id == id)
+    }
+
+    fn controller(&mut self, id: InstanceId, term: u64) -> Option<&mut Controller> {
+        let n = self.instance(id)?;
+        self.instances[n].controller.as_mut().filter(|c| c.row().term == term)
+    }
+
+    fn drop_message(&mut self, msg: &Msg) {
+        // Somebody waits for the answer to a write: a lost one times out.
+        if let Msg::Write { from, term, .. } = msg {
+            self.wrote(*from, *term, WriteResult::Unknown);
+        }
+    }
+
+    fn deliver(&mut self, msg: Msg, lose_answer: bool) {
+        match msg {
+            Msg::Grant { from, to, mut grant } => {
+                let now = self.now;
+                let term = grant.term;
+                let process = self.processes.iter_mut().find(|p| p.holder.boot() == to.boot);
+                let Some(p) = process else { return };
+                if self.fault == Fault::ExpiryFromReceipt && grant.until > 0 {
+                    grant.until = p.clock.read(now) + TIMING.lease_ms;
+                }
+                let reply = p.holder.on_grant(p.clock.read(now), &grant);
+                self.net.push(Msg::Reply { to: from, term, owner: to, reply });
+            }
+            Msg::Reply { to, term, owner, reply } => {
+                let Some(n) = self.instance(to) else { return };
+                let now = self.instances[n].clock.read(self.now);
+                if let Some(c) = self.controller(to, term) {
+                    c.on_reply(now, &owner, &reply);
+                }
+            }
+            Msg::Ask { from, to, ask } => {
+                let Some(n) = self.instance(to) else { return };
+                let now = self.instances[n].clock.read(self.now);
+                let i = &mut self.instances[n];
+                if i.controller.is_none() && i.standby.on_ask(now, &ask) {
+                    self.net.push(Msg::Promise { from: to, to: from, ask });
+                }
+            }
+            Msg::Promise { from, to, ask } => {
+                if let Some(c) = self.controller(to, ask.term) {
+                    c.on_promise(from, &ask);
+                }
+            }
+            Msg::Write { from, term, expected, row } => {
+                let mut result = WriteResult::Conflict;
+                if !self.platform_up {
+                    result = WriteResult::Unknown;
+                } else if self.version == expected {
+                    self.version += 1;
+                    self.commit(row);
+                    result = WriteResult::Done(self.version);
+                }
+                let told = if lose_answer { WriteResult::Unknown } else { result };
+                self.wrote(from, term, told);
+            }
+            Msg::HandOver { to, term } => {
+                let Some(n) = self.instance(to) else { return };
+                let now = self.instances[n].clock.read(self.now);
+                self.instances[n].standby.on_hand_over(now, term);
+            }
+        }
+    }
+
+    fn wrote(&mut self, from: InstanceId, term: Option<u64>, result: WriteResult) {
+        let Some(n) = self.instance(from) else { return };
+        if let Some(term) = term {
+            if let Some(c) = self.controller(from, term) {
+                c.on_write(result);
+            }
+        } else {
+            let found = self.instances[n].standby.on_write(result);
+            self.adopt(n, found);
+        }
+    }
+
+    fn commit(&mut self, row: CellRow) {
+        for (slot, a) in &row.slots {
+            let max = self.max_epoch.entry(*slot).or_default();
+            assert!(a.epoch >= *max, "epoch of slot {slot} fell from {max} to {}", a.epoch);
+            *max = a.epoch;
+        }
+        for key in KEYS {
+            let slot = slot_of(SERVICE, key, SLOTS, &row.pins);
+            if let Some(a) = row.slots.get(&slot) {
+                self.routes.entry(key).or_default().insert((slot, a.epoch));
+            }
+        }
+        assert!(row.term >= self.row.term, "term fell");
+        self.row = row;
+    }
+
+    fn check(&self) {
+        let mut holders: BTreeMap<SlotId, Vec<u64>> = BTreeMap::new();
+        let mut keys: BTreeMap<&str, BTreeSet<u64>> = BTreeMap::new();
+        for p in &self.processes {
+            for g in p.holder.held(p.clock.read(self.now)) {
+                holders.entry(g.slot).or_default().push(p.holder.boot());
+                for (key, routes) in &self.routes {
+                    if routes.contains(&(g.slot, g.epoch)) {
+                        keys.entry(key).or_default().insert(p.holder.boot());
+                    }
+                }
+            }
+        }
+        for (slot, boots) in holders {
+            assert!(boots.len() == 1, "slot {slot} is held by {boots:?}");
+        }
+        for (key, boots) in keys {
+            assert!(boots.len() == 1, "key {key} is served by {boots:?}");
+        }
+    }
+}
+
+fn affected(old: &[Arc<str>], new: &[Arc<str>]) -> BTreeSet<SlotId> {
+    let none: Arc<str> = "".into();
+    let mut affected = BTreeSet::new();
+    for n in 0..old.len().max(new.len()) {
+        let (a, b) = (old.get(n).unwrap_or(&none), new.get(n).unwrap_or(&none));
+        if a != b {
+            affected.insert(SLOTS + u32::try_from(n).unwrap());
+            let keys = [a, b].into_iter().filter(|k| !k.is_empty());
+            affected.extend(keys.map(|k| hashed_slot(SERVICE, k, SLOTS)));
+        }
+    }
+    affected
+}
+
+impl StateMachineTest for System {
+    type SystemUnderTest = Self;
+    type Reference = Reference;
+
+    fn init_test((): &()) -> Self {
+        Self::new(Fault::None)
+    }
+
+    fn apply(mut state: Self, (): &(), step: Step) -> Self {
+        System::apply(&mut state, &step);
+        state
+    }
+
+    fn check_invariants(state: &Self, (): &()) {
+        state.check();
+    }
+}
+
+fn config() -> ProptestConfig {
+    let cases = std::env::var("PROPTEST_CASES").ok().and_then(|c| c.parse().ok()).unwrap_or(64);
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(2_026),
+        failure_persistence: None,
+        max_shrink_iters: 20_000,
+        ..ProptestConfig::default()
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+    #[test]
+    fn keys_have_one_owner(sequential 200..1200 => System);
+}
+
+/// Runs fixed sequences and returns the systems they end in.
+fn runs(count: usize, fault: Fault) -> Vec<System> {
+    let mut runner = proptest::test_runner::TestRunner::new(config());
+    let run = |_| {
+        let strategy = Reference::sequential_strategy(800..1200);
+        let ((), steps, _) = strategy.new_tree(&mut runner).unwrap().current();
+        let mut system = System::new(fault);
+        for step in &steps {
+            system.apply(step);
+            system.check();
+        }
+        system
+    };
+    (0..count).map(run).collect()
+}
+
+/// The runs must reach what they are meant to test.
+#[test]
+fn runs_reach_moves_takeovers_and_pins() {
+    let systems = runs(16, Fault::None);
+    let epoch = systems.iter().flat_map(|s| s.max_epoch.values()).max().unwrap();
+    let term = systems.iter().map(|s| s.row.term).max().unwrap();
+    let pins = systems.iter().map(|s| s.row.pins.len()).max().unwrap();
+    println!("highest epoch {epoch}, highest term {term}, most pins {pins}");
+    assert!(*epoch >= 4 && term >= 4 && pins >= 2);
+}
+
+macro_rules! found {
+    ($($name:ident: $fault:ident;)*) => {
+        $(#[test] fn $name() {
+            let found = std::panic::catch_unwind(|| runs(400, Fault::$fault));
+            let text = found.expect_err("the mistake was not found");
+            println!("{:?}", text.downcast_ref::<String>());
+        })*
+    };
+}
+
+found! {
+    finds_expiry_from_receipt: ExpiryFromReceipt;
+    finds_pins_without_new_epochs: PinsWithoutNewEpochs;
+}
--- /dev/null
+++ b/tests/load_policy.rs
@@ -0,0 +1,208 @@
+//! Admission, choice among upstreams, retry budget, placement.
+
+use mulberryspur::{
+    balance::{UpstreamLoad, choose},
+    budget::RetryBudget,
+    cell::{Assignment, CellRow, Owner},
+    gate::{Admission, Gate, long_share},
+    placement::{Demand, place},
+    resource::Class::{Long, Short},
+};
+use proptest::prelude::*;
+use rand::{SeedableRng, rngs::SmallRng};
+use std::collections::BTreeMap;
+
+#[test]
+fn long_work_leaves_places_for_short_work() {
+    let mut gate = Gate::new(4, 1, 8);
+    assert_eq!(gate.enter(0, Long, 1_000), Admission::Go);
+    assert!(matches!(gate.enter(0, Long, 1_000), Admission::Wait(_)));
+    for _ in 0..4 {
+        assert_eq!(gate.enter(0, Short, 1_000), Admission::Go);
+    }
+}
+
+#[test]
+fn the_earliest_deadline_goes_first() {
+    let mut gate = Gate::new(1, 1, 8);
+    assert_eq!(gate.enter(0, Short, 100), Admission::Go);
+    let Admission::Wait(late) = gate.enter(0, Short, 900) else { panic!() };
+    let Admission::Wait(early) = gate.enter(0, Short, 500) else { panic!() };
+    assert_eq!(gate.leave(Short, Some(10.0)), vec![early]);
+    assert_eq!(gate.leave(Short, Some(10.0)), vec![late]);
+}
+
+#[test]
+fn what_cannot_be_served_in_time_is_refused_at_once() {
+    let mut gate = Gate::new(1, 1, 100);
+    assert_eq!(gate.enter(0, Short, 1_000), Admission::Go);
+    (0..40).for_each(|_| {
+        gate.leave(Short, Some(100.0));
+        gate.enter(0, Short, 1_000);
+    });
+    let refused = gate.enter(0, Short, 50);
+    assert!(
+        matches!(refused, Admission::Refuse { retry_after } if retry_after >= 50),
+        "{refused:?}"
+    );
+}
+
+#[test]
+fn a_full_queue_refuses() {
+    let mut gate = Gate::new(1, 1, 1);
+    gate.enter(0, Short, 1_000);
+    assert!(matches!(gate.enter(0, Short, 1_000), Admission::Wait(_)));
+    assert!(matches!(gate.enter(0, Short, 1_000), Admission::Refuse { .. }));
+}
+
+#[test]
+fn an_abandoned_place_in_the_queue_is_free_again() {
+    let mut gate = Gate::new(1, 1, 1);
+    gate.enter(0, Short, 1_000);
+    let Admission::Wait(ticket) = gate.enter(0, Short, 1_000) else { panic!() };
+    assert!(gate.abandon(Short, ticket));
+    assert!(gate.leave(Short, None).is_empty());
+    assert_eq!(gate.enter(0, Short, 1_000), Admission::Go);
+}
+
+#[test]
+fn long_shares_of_all_instances_make_up_the_places() {
+    for instances in 1..20 {
+        for upstream in 0..5 {
+            let shares = (0..instances).map(|at| long_share(3, upstream, at, instances));
+            assert_eq!(shares.sum::<usize>(), 3);
+        }
+    }
+}
+
+fn count(loads: &[UpstreamLoad], now: u64) -> Vec<usize> {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let loads: Vec<&UpstreamLoad> = loads.iter().collect();
+    let mut counts = vec![0; loads.len()];
+    (0..1_000).for_each(|_| counts[choose(&loads, now, 6, &mut rng).unwrap()] += 1);
+    counts
+}
+
+#[test]
+fn a_busy_upstream_gets_less() {
+    let mut loads = vec![UpstreamLoad::new(0); 3];
+    (0..6).for_each(|_| loads[1].on_start());
+    let counts = count(&loads, 60_000);
+    assert!(counts[1] < 50, "{counts:?}");
+}
+
+#[test]
+fn a_failing_upstream_is_ejected_and_comes_back() {
+    let mut loads = vec![UpstreamLoad::new(0); 3];
+    (0..3).for_each(|_| loads[0].on_failure(60_000));
+    assert_eq!(count(&loads, 60_001)[0], 0);
+    assert!(count(&loads, 62_000)[0] > 0);
+}
+
+#[test]
+fn ejection_never_removes_everyone() {
+    let mut loads = vec![UpstreamLoad::new(0); 3];
+    for l in &mut loads {
+        (0..3).for_each(|_| l.on_failure(60_000));
+    }
+    assert!(count(&loads, 60_001).iter().all(|c| *c > 0));
+}
+
+#[test]
+fn a_lying_report_does_not_draw_all_work() {
+    let mut loads = vec![UpstreamLoad::new(0); 2];
+    loads[0].on_answer(60_000, 5.0, Some(0));
+    loads[1].on_answer(60_000, 5.0, Some(3));
+    // The first one claims to be idle, but has requests from here in flight.
+    (0..6).for_each(|_| loads[0].on_start());
+    let counts = count(&loads, 60_001);
+    assert!(counts[1] > counts[0], "{counts:?}");
+}
+
+#[test]
+fn a_new_upstream_starts_slowly() {
+    let loads = [UpstreamLoad::new(0), UpstreamLoad::new(60_000)];
+    let counts = count(&loads, 60_100);
+    assert!(counts[1] < 300, "{counts:?}");
+}
+
+#[test]
+fn retries_are_a_share_of_requests() {
+    let mut budget = RetryBudget::new();
+    while budget.take() {}
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.on_request();
+        retries += u32::from(budget.take());
+    }
+    assert!((90..=101).contains(&retries), "{retries}");
+}
+
+fn owner(n: u64) -> Owner {
+    Owner { upstream: format!("u{n}").into(), boot: 1 }
+}
+
+fn row(owners: &[u64]) -> CellRow {
+    let slots = owners
+        .iter()
+        .enumerate()
+        .map(|(slot, o)| (u32::try_from(slot).unwrap(), Assignment { owner: owner(*o), epoch: 1 }));
+    CellRow { slots: slots.collect(), ..CellRow::default() }
+}
+
+fn moved(row: &CellRow, wanted: &BTreeMap<u32, Owner>) -> usize {
+    wanted.iter().filter(|(s, o)| row.slots.get(s).is_some_and(|a| a.owner != **o)).count()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(4), cases: 500,
+        failure_persistence: None, ..ProptestConfig::default()
+    })]
+
+    /// A lost owner's slots move, no others, and the result is balanced.
+    #[test]
+    fn a_loss_moves_only_what_was_lost(owners in proptest::collection::vec(0_u64..5, 1..200)) {
+        let row = row(&owners);
+        let live: Vec<Owner> = (1..5).map(owner).collect();
+        let slots: Vec<u32> = row.slots.keys().copied().collect();
+        let none = BTreeMap::new();
+        let demand = Demand { slots: &slots, live: &live, pinned: &none, churn: 0 };
+        let wanted = place(&row, &demand);
+        prop_assert_eq!(moved(&row, &wanted), owners.iter().filter(|o| **o == 0).count());
+        prop_assert!(wanted.values().all(|o| live.contains(o)));
+    }
+
+    /// With enough churn the counts differ by at most one, and moves are the fewest possible.
+    #[test]
+    fn balance_takes_the_fewest_moves(owners in proptest::collection::vec(0_u64..5, 1..200)) {
+        let row = row(&owners);
+        let live: Vec<Owner> = (0..6).map(owner).collect();
+        let slots: Vec<u32> = row.slots.keys().copied().collect();
+        let none = BTreeMap::new();
+        let demand = Demand { slots: &slots, live: &live, pinned: &none, churn: 1_000 };
+        let wanted = place(&row, &demand);
+        let counts: Vec<usize> =
+            live.iter().map(|o| wanted.values().filter(|w| *w == o).count()).collect();
+        let (min, max) = (counts.iter().min().unwrap(), counts.iter().max().unwrap());
+        prop_assert!(max - min <= 1, "{:?}", counts);
+        let excess = |o: &Owner| {
+            let held = row.slots.values().filter(|a| a.owner == *o).count();
+            held.saturating_sub(slots.len().div_ceil(live.len()))
+        };
+        let least: usize = live.iter().map(excess).sum();
+        prop_assert!(moved(&row, &wanted) <= least + live.len(), "{} {least}", moved(&row, &wanted));
+    }
+
+    /// Moves for balance stay within the churn budget.
+    #[test]
+    fn balance_respects_the_churn_budget(owners in proptest::collection::vec(0_u64..2, 1..200),
+                                         churn in 0_usize..20) {
+        let row = row(&owners);
+        let live: Vec<Owner> = (0..4).map(owner).collect();
+        let slots: Vec<u32> = row.slots.keys().copied().collect();
+        let none = BTreeMap::new();
+        let demand = Demand { slots: &slots, live: &live, pinned: &none, churn };
+        prop_assert!(moved(&row, &place(&row, &demand)) <= churn);
+    }
+}
--- a/tests/model/search.rs
+++ b/tests/model/search.rs
@@ -1,6 +1,9 @@
 //! Breadth-first search over worlds, which keeps fingerprints instead of whole states.
 
-use crate::world::{Step, World, fingerprint};
+use crate::{
+    shared::fingerprint,
+    world::{Step, World},
+};
 use mulberryspur::collections::HashMap;
 
 const THREADS: usize = 8;
--- /dev/null
+++ b/tests/model/shared.rs
@@ -0,0 +1,64 @@
+//! Parts of a world that many worlds have in common: shared, with a fingerprint kept beside them.
+
+use std::{
+    hash::{Hash, Hasher},
+    ops::Deref,
+    sync::Arc,
+};
+
+/// A value shared between worlds; copied and fingerprinted anew when it is changed.
+#[derive(Debug, Clone)]
+pub struct Shared<T> {
+    value: Arc<T>,
+    print: u128,
+}
+
+impl<T: Clone + Hash> Shared<T> {
+    pub fn new(value: T) -> Self {
+        let print = fingerprint(&value);
+        Self { value: Arc::new(value), print }
+    }
+
+    pub fn edit<R>(&mut self, f: impl FnOnce(&mut T) -> R) -> R {
+        let result = f(Arc::make_mut(&mut self.value));
+        self.print = fingerprint(&*self.value);
+        result
+    }
+
+    pub fn print(&self) -> u128 {
+        self.print
+    }
+}
+
+impl<T> Deref for Shared<T> {
+    type Target = T;
+
+    fn deref(&self) -> &T {
+        &self.value
+    }
+}
+
+impl<T> Hash for Shared<T> {
+    fn hash<H: Hasher>(&self, h: &mut H) {
+        h.write_u128(self.print);
+    }
+}
+
+/// Returns a fingerprint of a value, by which values are told apart.
+pub fn fingerprint(value: &impl Hash) -> u128 {
+    struct Fingerprint(xxhash_rust::xxh3::Xxh3);
+
+    impl Hasher for Fingerprint {
+        fn write(&mut self, bytes: &[u8]) {
+            self.0.update(bytes);
+        }
+
+        fn finish(&self) -> u64 {
+            self.0.digest()
+        }
+    }
+
+    let mut h = Fingerprint(xxhash_rust::xxh3::Xxh3::new());
+    value.hash(&mut h);
+    h.0.digest128()
+}
--- a/tests/model/world.rs
+++ b/tests/model/world.rs
@@ -1,36 +1,15 @@
 //! The model's world: the real decision structs, a table, and a network that delays, reorders and
 //! loses messages. Processes may pause at any point, since no step is ever forced.
 
+use crate::shared::Shared;
 use mulberryspur::{
     cell::{Assignment, CellRow, InstanceId, Owner},
     controller::{Action, Ask, Controller, Enforcer, Inherited, WriteResult},
-    grant::{BootId, Grant, GrantHolder, GrantReply, Timing},
+    grant::{BootId, Grant, GrantHolder, GrantReply, GrantStatus, SlotGrant, Timing},
     slot::SlotId,
     standby::{Standby, StandbyAction},
 };
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    hash::{Hash, Hasher},
-};
-
-/// Returns a portable fingerprint of a value.
-pub fn fingerprint(value: &impl Hash) -> u128 {
-    struct Fingerprint(xxhash_rust::xxh3::Xxh3);
-
-    impl Hasher for Fingerprint {
-        fn write(&mut self, bytes: &[u8]) {
-            self.0.update(bytes);
-        }
-
-        fn finish(&self) -> u64 {
-            self.0.digest()
-        }
-    }
-
-    let mut h = Fingerprint(xxhash_rust::xxh3::Xxh3::new());
-    value.hash(&mut h);
-    h.0.digest128()
-}
+use std::collections::{BTreeMap, BTreeSet};
 
 const CELL: &str = "cell";
 const SLOT: SlotId = 0;
@@ -59,6 +38,7 @@
 }
 
 /// Bounds of an exploration.
+#[expect(clippy::struct_excessive_bools, reason = "each allows one kind of failure")]
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Budget {
     /// Clock readings to explore.
@@ -79,20 +59,51 @@
     pub hand_overs: u8,
     /// Cuts and mends of the network between instances.
     pub cuts: u8,
+    /// Whether controllers after the first want the other upstream.
+    pub new_controller_moves: bool,
     /// Whether grants' answers may be late; else they arrive at once or never.
     pub late_replies: bool,
+    /// Whether entry instances enforce ownership, instead of the upstreams.
+    pub entries_enforce: bool,
     /// Whether promises and the requests for them may be late; else likewise.
     pub late_promises: bool,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Msg {
-    Grant { from: usize, to: usize, grant: Grant },
-    Reply { to: usize, owner: Owner, reply: GrantReply },
-    Ask { from: usize, to: usize, ask: Ask },
-    Promise { from: usize, to: usize, ask: Ask },
-    Write { from: usize, expected: u64, row: CellRow },
-    HandOver { to: usize, term: u64 },
+    Grant {
+        from: usize,
+        to: usize,
+        grant: Grant,
+    },
+    Reply {
+        to: usize,
+        owner: Owner,
+        reply: GrantReply,
+    },
+    Ask {
+        from: usize,
+        to: usize,
+        ask: Ask,
+    },
+    Promise {
+        from: usize,
+        to: usize,
+        ask: Ask,
+    },
+    /// `term` is that of the controller which writes, or absent for a takeover.
+    Write {
+        from: usize,
+        term: Option<u64>,
+        expected: u64,
+        row: CellRow,
+        /// Whether the sender has given up waiting for an answer.
+        abandoned: bool,
+    },
+    HandOver {
+        to: usize,
+        term: u64,
+    },
 }
 
 /// One thing that may happen next.
@@ -102,6 +113,8 @@
     Run(usize),
     Deliver(usize),
     DeliverLosingAnswer(usize),
+    /// The sender gives up waiting for a write, which may still be delivered.
+    TimeOut(usize),
     Drop(usize),
     Move,
     Restart(usize),
@@ -117,20 +130,21 @@
     controller: Option<Controller>,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Hash)]
 pub struct World {
     now: u64,
     timing: Timing,
     budget: Budget,
     fault: Fault,
     version: u64,
-    row: CellRow,
-    instances: Vec<Instance>,
-    holders: Vec<GrantHolder>,
+    row: Shared<CellRow>,
+    instances: Vec<Shared<Instance>>,
+    /// Processes of upstreams: a restart adds one, and the old one may still be there.
+    holders: Vec<(usize, Shared<GrantHolder>)>,
     wanted: usize,
     platform_up: bool,
     cut: bool,
-    net: Vec<Msg>,
+    net: Vec<Shared<Msg>>,
 }
 
 fn id(instance: usize) -> InstanceId {
@@ -145,6 +159,10 @@
     Owner { upstream: UPSTREAMS[upstream].into(), boot }
 }
 
+fn enforcer(budget: &Budget) -> Enforcer {
+    if budget.entries_enforce { Enforcer::Entries } else { Enforcer::Owners }
+}
+
 impl World {
     /// Instance 0 controls one slot of upstream 0; the last instance is listed nowhere if
     /// `listed` is smaller than the number of instances less one.
@@ -163,21 +181,22 @@
             pins: Vec::new(),
             slots: BTreeMap::from([(SLOT, Assignment { owner: owner(0, 1), epoch: 1 })]),
         };
-        let first =
-            Controller::new(CELL, timing, row.clone(), 1, Inherited::Until(0), &Enforcer::Owners);
-        let standby = |n| Standby::new(id(n), CELL, timing, Enforcer::Owners);
+        let enforcer = enforcer(&budget);
+        let first = Controller::new(CELL, timing, row.clone(), 1, Inherited::Until(0), &enforcer);
+        let standby = |n| Standby::new(id(n), CELL, timing, enforcer.clone());
         let mut all: Vec<Instance> =
             (0..instances).map(|n| Instance { standby: standby(n), controller: None }).collect();
         all[0].controller = Some(first);
+        let holder = |n| (n, Shared::new(GrantHolder::new(1)));
         let mut this = Self {
             now: 1,
             timing,
             budget,
             fault,
             version: 1,
-            row,
-            instances: all,
-            holders: (0..UPSTREAMS.len()).map(|_| GrantHolder::new(1)).collect(),
+            row: Shared::new(row),
+            instances: all.into_iter().map(Shared::new).collect(),
+            holders: (0..UPSTREAMS.len()).map(holder).collect(),
             wanted: 0,
             platform_up: true,
             cut: false,
@@ -195,12 +214,18 @@
                 self.deliver(0, false);
             }
         }
-        assert!(self.holders[0].held(self.now).next().is_some(), "no steady state");
+        assert!(self.holders[0].1.held(self.now).next().is_some(), "no steady state");
     }
 
-    /// Returns the upstreams that would serve the slot now.
+    /// Returns the number of upstreams that the slot would be served by now.
     pub fn serving(&self) -> usize {
-        self.holders.iter().filter(|h| h.held(self.now).next().is_some()).count()
+        let held = |h: &(usize, Shared<GrantHolder>)| Some(h.1.held(self.now).next()?.epoch);
+        let epochs = self.holders.iter().filter_map(held);
+        if self.budget.entries_enforce {
+            // Entry instances share an owner under one epoch.
+            return epochs.collect::<BTreeSet<_>>().len();
+        }
+        epochs.count()
     }
 
     /// Returns everything that may happen next.
@@ -216,8 +241,13 @@
             if self.net.len() == b.in_flight {
                 steps.push(Step::Drop(n));
             }
-            let can_lose = match msg {
-                Msg::Write { .. } => b.lost_answers > 0,
+            let can_lose = match &**msg {
+                Msg::Write { abandoned, .. } => {
+                    if b.lost_answers > 0 && !abandoned {
+                        steps.push(Step::TimeOut(n));
+                    }
+                    false
+                }
                 Msg::Grant { .. } => !b.late_replies,
                 _ => false,
             };
@@ -229,7 +259,7 @@
             steps.push(Step::Move);
         }
         if b.restarts > 0 {
-            steps.extend((0..self.holders.len()).map(Step::Restart));
+            steps.extend((0..UPSTREAMS.len()).map(Step::Restart));
         }
         if b.outsiders > 0 {
             steps.push(Step::Outsider(self.instances.len() - 1));
@@ -255,6 +285,7 @@
             Step::Run(n) => next.run(n),
             Step::Deliver(n) => next.deliver(n, false),
             Step::DeliverLosingAnswer(n) => next.deliver(n, true),
+            Step::TimeOut(n) => next.time_out(n),
             Step::Drop(n) => {
                 next.net.remove(n);
             }
@@ -264,11 +295,13 @@
             }
             Step::Restart(n) => {
                 next.budget.restarts -= 1;
-                next.holders[n] = GrantHolder::new(next.holders[n].boot() + 1);
+                let process = GrantHolder::new(next.boot(n) + 1);
+                next.holders.push((n, Shared::new(process)));
             }
             Step::Outsider(n) => {
                 next.budget.outsiders -= 1;
-                next.instances[n].standby.start_as_outsider(next.row.term);
+                let lost = next.row.term;
+                next.instances[n].edit(|i| i.standby.start_as_outsider(lost));
             }
             Step::Outage => {
                 next.budget.outages -= 1;
@@ -280,8 +313,8 @@
                 next.cut = !next.cut;
             }
         }
-        next.net.sort_by_cached_key(fingerprint);
-        next.net.dedup();
+        next.net.sort_by_key(Shared::print);
+        next.net.dedup_by_key(|m| m.print());
         next
     }
 
@@ -300,74 +333,91 @@
             return;
         }
         if self.net.len() < self.budget.in_flight {
-            self.net.push(msg);
+            self.net.push(Shared::new(msg));
         }
     }
 
     fn hand_over(&mut self, n: usize) {
         self.budget.hand_overs -= 1;
-        let Some(c) = self.instances[n].controller.as_mut() else {
-            return;
-        };
-        let Some(to) = c.row().standbys.first().copied() else {
-            return;
-        };
-        if let Some(Action::HandOver { to, term }) = c.resign(to) {
+        let resigned = self.edit_controller(n, |c| {
+            let to = c.row().standbys.first().copied()?;
+            c.resign(to)
+        });
+        if let Some(Some(Action::HandOver { to, term })) = resigned {
             self.send(Msg::HandOver { to: index(to), term });
         }
     }
 
+    /// Returns the latest process of an upstream.
+    fn boot(&self, upstream: usize) -> BootId {
+        let processes = self.holders.iter().filter(|(u, _)| *u == upstream);
+        processes.map(|(_, h)| h.boot()).max().unwrap_or(0)
+    }
+
+    fn edit_controller<R>(&mut self, n: usize, f: impl FnOnce(&mut Controller) -> R) -> Option<R> {
+        self.instances[n].edit(|i| i.controller.as_mut().map(f))
+    }
+
     /// Lets one instance run: its controller if it has one, else its standby.
     fn run(&mut self, n: usize) {
+        if self.instances[n].controller.as_ref().is_some_and(Controller::has_ended) {
+            self.instances[n].edit(|i| i.controller = None);
+        }
+        if self.instances[n].controller.is_some() {
+            self.run_controller(n);
+        } else {
+            self.run_standby(n);
+        }
+    }
+
+    fn run_controller(&mut self, n: usize) {
         let now = self.now;
-        let wanted = owner(self.wanted, self.holders[self.wanted].boot());
+        let moves = n > 0 && self.budget.new_controller_moves;
+        let upstream = if moves { 1 } else { self.wanted };
+        let wanted = owner(upstream, self.boot(upstream));
+        let entries = (0..UPSTREAMS.len()).map(|n| owner(n, 1)).collect();
         let platform_up = self.platform_up;
-        let others: Vec<InstanceId> = self.row.standbys.clone();
-        let instance = &mut self.instances[n];
-        if instance.controller.as_ref().is_some_and(Controller::has_ended) {
-            instance.controller = None;
-        }
-        if let Some(c) = &mut instance.controller {
+        let actions = self.edit_controller(n, |c| {
+            c.want_entries(entries);
             c.set_platform_up(platform_up);
             c.want(BTreeMap::from([(SLOT, wanted)]));
-            let actions = c.poll(now);
-            for action in actions {
-                self.act(n, action);
-            }
-            return;
+            c.poll(now)
+        });
+        for action in actions.into_iter().flatten() {
+            self.act(n, action);
         }
-        let peers: BTreeSet<InstanceId> = others.into_iter().filter(|o| *o != id(n)).collect();
-        instance.standby.want_standbys(peers.into_iter().collect());
-        match instance.standby.poll(now) {
+    }
+
+    fn run_standby(&mut self, n: usize) {
+        let now = self.now;
+        let standbys: BTreeSet<InstanceId> =
+            self.row.standbys.iter().copied().filter(|o| *o != id(n)).collect();
+        let action = self.instances[n].edit(|i| {
+            i.standby.want_standbys(standbys.into_iter().collect());
+            i.standby.poll(now)
+        });
+        match action {
             Some(StandbyAction::Read) => {
-                let row = self.row.clone();
-                let found = instance.standby.on_read(now, self.version, Some(row));
+                let (version, row) = (self.version, (*self.row).clone());
+                let found = self.instances[n].edit(|i| i.standby.on_read(now, version, Some(row)));
                 self.adopt(n, found);
             }
             Some(StandbyAction::Write { expected, row }) => {
-                self.send(Msg::Write { from: n, expected, row });
+                self.send(Msg::Write { from: n, term: None, expected, row, abandoned: false });
             }
             None => {}
         }
     }
 
     fn adopt(&mut self, n: usize, controller: Option<Controller>) {
-        let Some(c) = controller else { return };
-        let c = match self.fault {
-            Fault::NoWaitAtTakeover => {
-                let (row, version) = (c.row().clone(), c.version());
-                Controller::new(
-                    CELL,
-                    self.timing,
-                    row,
-                    version,
-                    Inherited::Until(0),
-                    &Enforcer::Owners,
-                )
-            }
-            _ => c,
-        };
-        self.instances[n].controller = Some(c);
+        let Some(mut c) = controller else { return };
+        if self.fault == Fault::NoWaitAtTakeover {
+            let (row, version) = (c.row().clone(), c.version());
+            let enforcer = enforcer(&self.budget);
+            let inherited = Inherited::Until(0);
+            c = Controller::new(CELL, self.timing, row, version, inherited, &enforcer);
+        }
+        self.instances[n].edit(|i| i.controller = Some(c));
     }
 
     fn act(&mut self, n: usize, action: Action) {
@@ -383,16 +433,14 @@
             Action::HandOver { to, term } => self.send(Msg::HandOver { to: index(to), term }),
             Action::Write { expected, row } => {
                 if self.fault == Fault::GrantBeforeCommit {
-                    let c = self.instances[n].controller.as_mut().unwrap();
-                    c.on_write(WriteResult::Done(expected + 1));
+                    self.edit_controller(n, |c| c.on_write(WriteResult::Done(expected + 1)));
                 }
-                self.send(Msg::Write { from: n, expected, row });
+                let term = Some(row.term);
+                self.send(Msg::Write { from: n, term, expected, row, abandoned: false });
             }
             Action::Read => {
-                let read = Some((self.version, self.row.clone()));
-                if let Some(c) = self.instances[n].controller.as_mut() {
-                    c.on_read(read);
-                }
+                let read = Some((self.version, (*self.row).clone()));
+                self.edit_controller(n, |c| c.on_read(read));
             }
         }
     }
@@ -407,68 +455,77 @@
             clock: self.now,
             term: grant.term,
             version: grant.version,
-            status: mulberryspur::grant::GrantStatus::Accepted,
+            status: GrantStatus::Accepted,
             draining: Vec::new(),
             leaving: false,
         };
-        let c = self.instances[n].controller.as_mut().unwrap();
-        c.on_reply(self.now, &owner(to, grant.boot), &reply);
+        let now = self.now;
+        self.edit_controller(n, |c| c.on_reply(now, &owner(to, grant.boot), &reply));
     }
 
     fn deliver(&mut self, n: usize, lose_answer: bool) {
         let msg = self.net.remove(n);
-        self.receive(msg, lose_answer);
+        self.receive((*msg).clone(), lose_answer);
     }
 
     fn receive(&mut self, msg: Msg, lose_answer: bool) {
         match msg {
             Msg::Grant { from, to, grant } => self.deliver_grant(from, to, grant, lose_answer),
             Msg::Reply { to, owner, reply } => {
-                if let Some(c) = self.instances[to].controller.as_mut() {
-                    c.on_reply(self.now, &owner, &reply);
-                }
+                let now = self.now;
+                self.edit_controller(to, |c| c.on_reply(now, &owner, &reply));
             }
             Msg::Ask { from, to, ask } => self.deliver_ask(from, to, ask),
             Msg::Promise { from, to, ask } => self.deliver_promise(from, to, ask),
-            Msg::Write { from, expected, row } => {
-                self.deliver_write(from, expected, row, lose_answer);
+            Msg::Write { from, term, expected, row, abandoned } => {
+                let mut result = WriteResult::Conflict;
+                if self.version == expected {
+                    self.version += 1;
+                    self.row = Shared::new(row);
+                    result = WriteResult::Done(self.version);
+                }
+                if !abandoned {
+                    self.wrote(from, term, result);
+                }
             }
             Msg::HandOver { to, term } => {
-                self.instances[to].standby.on_hand_over(self.now, term);
+                let now = self.now;
+                self.instances[to].edit(|i| i.standby.on_hand_over(now, term));
             }
         }
     }
 
     fn deliver_grant(&mut self, from: usize, to: usize, mut grant: Grant, lose_answer: bool) {
-        let holder = &mut self.holders[to];
         let boot = grant.boot;
-        if self.fault == Fault::ExpiryFromReceipt && grant.until > 0 {
-            grant.until = self.now + self.timing.lease_ms;
-        }
-        if self.fault == Fault::OlderTermAccepted {
-            // Forgets its term before each grant.
-            let mut fresh = GrantHolder::new(holder.boot());
-            let mut old = holder.clone();
-            let reply = old.on_grant(self.now, &grant);
-            if reply.status == mulberryspur::grant::GrantStatus::Stale {
-                fresh.on_grant(self.now, &grant);
-                *holder = fresh;
+        let (now, fault) = (self.now, self.fault);
+        let process = self.holders.iter_mut().find(|(u, h)| *u == to && h.boot() == boot);
+        let Some((_, holder)) = process else { return };
+        if fault == Fault::ExpiryFromReceipt && grant.until > 0 {
+            grant.until = now + self.timing.lease_ms;
+        }
+        let reply = holder.edit(|h| {
+            let reply = h.on_grant(now, &grant);
+            if fault == Fault::OlderTermAccepted && reply.status == GrantStatus::Stale {
+                // Forgets its term and takes the grant.
+                *h = GrantHolder::new(boot);
+                let slots = vec![SlotGrant { slot: SLOT, epoch: 1 }];
+                return h.on_grant(now, &Grant { slots: Some(slots), ..grant.clone() });
             }
+            reply
+        });
+        if !lose_answer {
+            self.send(Msg::Reply { to: from, owner: owner(to, boot), reply });
         }
-        let reply = holder.on_grant(self.now, &grant);
-        if lose_answer {
-            return;
-        }
-        self.send(Msg::Reply { to: from, owner: owner(to, boot), reply });
     }
 
     fn deliver_ask(&mut self, from: usize, to: usize, ask: Ask) {
         if self.instances[to].controller.is_some() {
             return;
         }
-        let standby = &mut self.instances[to].standby;
-        let forced = self.fault == Fault::PromiseDuringTakeover && standby.is_taking_over();
-        if standby.on_ask(self.now, &ask) || forced {
+        let now = self.now;
+        let forced = self.fault == Fault::PromiseDuringTakeover
+            && self.instances[to].standby.is_taking_over();
+        if self.instances[to].edit(|i| i.standby.on_ask(now, &ask)) || forced {
             self.send(Msg::Promise { from: to, to: from, ask });
         }
     }
@@ -477,31 +534,30 @@
         if self.fault == Fault::PromiseFromReply {
             ask.sent_at = self.now;
         }
-        if let Some(c) = self.instances[to].controller.as_mut() {
-            c.on_promise(id(from), &ask);
-        }
+        self.edit_controller(to, |c| c.on_promise(id(from), &ask));
     }
 
-    fn deliver_write(&mut self, from: usize, expected: u64, row: CellRow, lose_answer: bool) {
-        let mut result = WriteResult::Conflict;
-        if self.version == expected {
-            self.version += 1;
-            self.row = row;
-            result = WriteResult::Done(self.version);
-        }
-        if lose_answer {
-            self.budget.lost_answers -= 1;
-            result = match self.fault {
-                Fault::GuessAfterLostAnswer => WriteResult::Done(expected + 1),
-                _ => WriteResult::Unknown,
-            };
-        }
-        let instance = &mut self.instances[from];
-        if let Some(c) = instance.controller.as_mut() {
-            c.on_write(result);
-        } else {
-            let found = instance.standby.on_write(result);
+    fn time_out(&mut self, n: usize) {
+        self.budget.lost_answers -= 1;
+        let guess = self.fault == Fault::GuessAfterLostAnswer;
+        let (from, term, result) = self.net[n].edit(|m| match m {
+            Msg::Write { from, term, expected, abandoned, .. } => {
+                *abandoned = true;
+                let done = WriteResult::Done(*expected + 1);
+                (*from, *term, if guess { done } else { WriteResult::Unknown })
+            }
+            _ => unreachable!("only writes time out"),
+        });
+        self.wrote(from, term, result);
+    }
+
+    /// Tells the writer the result, if it still is what it was.
+    fn wrote(&mut self, from: usize, term: Option<u64>, result: WriteResult) {
+        if term.is_none() {
+            let found = self.instances[from].edit(|i| i.standby.on_write(result));
             self.adopt(from, found);
+        } else if self.instances[from].controller.as_ref().map(|c| c.row().term) == term {
+            self.edit_controller(from, |c| c.on_write(result));
         }
     }
 }
--- /dev/null
+++ b/tests/operators.rs
@@ -0,0 +1,393 @@
+//! What operators and auditors rely on, with real processes and the real command-line tool.
+
+mod support;
+
+use hyper::{Method, StatusCode};
+use serde_json::{Value, json};
+use std::{
+    path::Path,
+    process::{Command, Output},
+    time::{Duration, Instant},
+};
+use support::{Cluster, Plan, SECRET};
+
+/// An accepted configuration must be in force everywhere within this time.
+const IN_FORCE: Duration = Duration::from_secs(9);
+
+/// One cluster at a time, so that the timing of one test does not disturb another.
+static ONE: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let _one = ONE.lock().await;
+        test.await;
+    });
+}
+
+macro_rules! cases {
+    ($($name:ident: $test:expr;)*) => {
+        $(#[test] fn $name() { run($test(stringify!($name))) })*
+    };
+}
+
+cases! {
+    race_has_one_winner: race;
+    lost_answer_is_settled: lost_answer;
+    store_outage_is_told: store_outage;
+    change_is_in_force_everywhere: in_force;
+    late_instance_gets_the_configuration_without_the_platform: late_instance;
+    secrets_are_required_and_do_not_show: secrets;
+    malformed_changes_change_nothing: malformed;
+    tool_runs_a_day_of_work: day_of_work;
+    record_shows_what_happened_and_tampering: record;
+    slow_and_large_headers_are_refused: hostile_headers;
+    other_data_centre_lost: data_centre_lost;
+    data_centre_cut_from_platform: data_centre_cut;
+    upstreams_that_check_nothing: unchecked;
+    pinned_key_moves_alone: pin;
+}
+
+fn small() -> Plan {
+    Plan { unkeyed: 1, ..Plan::default() }
+}
+
+fn service(timeout_ms: u64) -> Value {
+    json!({"kind": "Service", "name": "paperdesk", "timeout_ms": timeout_ms})
+}
+
+async fn race(name: &str) {
+    let cluster = Cluster::start(name, small()).await;
+    for round in 0..10 {
+        let list = cluster.admin(0, Method::GET, "/v1/resources", "").await.unwrap().1;
+        let list: Value = serde_json::from_str(&list).unwrap();
+        let current = list["resources"]
+            .as_array()
+            .unwrap()
+            .iter()
+            .find(|r| r["resource"]["name"] == "paperdesk" && r["resource"]["kind"] == "Service")
+            .unwrap()["version"]
+            .as_u64();
+        let (one, two) = ([service(1_000 + round)], [service(2_000 + round)]);
+        let (a, b) =
+            tokio::join!(cluster.change(0, &one, current), cluster.change(1, &two, current));
+        let mut statuses = [a.0, b.0];
+        statuses.sort();
+        assert_eq!(statuses, [StatusCode::OK, StatusCode::CONFLICT], "{a:?} {b:?}");
+        let loser = if a.0 == StatusCode::CONFLICT { a.1 } else { b.1 };
+        let loser: Value = serde_json::from_str(&loser).unwrap();
+        assert_eq!(loser["conflict"], "Service/paperdesk");
+        assert!(loser["current"].as_u64() > current, "{loser}");
+        wait_for_equal_revisions(&cluster).await;
+    }
+}
+
+async fn wait_for_equal_revisions(cluster: &Cluster) -> u64 {
+    let start = Instant::now();
+    loop {
+        let mut revisions = Vec::new();
+        for entry in 0..cluster.entries.len() {
+            revisions.push(cluster.status(entry).await.map(|s| s.revision));
+        }
+        if revisions.iter().all(|r| *r == revisions[0]) {
+            return revisions[0].expect("a revision");
+        }
+        assert!(start.elapsed() < IN_FORCE, "{revisions:?}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+async fn lost_answer(name: &str) {
+    let cluster = Cluster::start(name, small()).await;
+    let before = wait_for_equal_revisions(&cluster).await;
+    cluster.platform_faults(json!({ "lose_answers": 1 })).await;
+    let (status, body) = cluster.change(0, &[service(1_234)], None).await;
+    assert!(status.is_success(), "{body}");
+    let reply: Value = serde_json::from_str(&body).unwrap();
+    assert_eq!(reply["revision"], before + 1, "made once");
+    assert_eq!(wait_for_equal_revisions(&cluster).await, before + 1);
+}
+
+async fn store_outage(name: &str) {
+    let cluster = Cluster::start(name, small()).await;
+    let before = wait_for_equal_revisions(&cluster).await;
+    cluster.platform_faults(json!({ "down": true })).await;
+    let (status, body) = cluster.change(0, &[service(1_234)], None).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{body}");
+    cluster.platform_faults(json!({})).await;
+    assert_eq!(wait_for_equal_revisions(&cluster).await, before);
+}
+
+async fn in_force(name: &str) {
+    let plan = Plan { entries: vec!["dc-1", "dc-1", "dc-1", "dc-2", "dc-2"], ..small() };
+    let cluster = Cluster::start(name, plan).await;
+    for round in 0..5 {
+        let (status, body) =
+            cluster.change(round % 5, &[service(1_000 + round as u64)], None).await;
+        assert!(status.is_success(), "{body}");
+        wait_for_equal_revisions(&cluster).await;
+    }
+}
+
+async fn late_instance(name: &str) {
+    let plan = Plan { settings: json!({}), ..small() };
+    let mut cluster = Cluster::start(name, plan).await;
+    let revision = wait_for_equal_revisions(&cluster).await;
+    cluster.platform_faults(json!({ "down": true })).await;
+    let peer = cluster.entries[0].peer.to_string();
+    cluster.set_settings(json!({ "peers": [peer] }));
+    let late = cluster.add_entry("entry-late", "dc-1");
+    let start = Instant::now();
+    loop {
+        let status = cluster.status(late).await;
+        let served = cluster.request(late, Method::GET, "/patterns/crane", &[]).await;
+        let ok = served.is_ok_and(|(s, _, _)| s.is_success());
+        if status.is_some_and(|s| s.revision == revision) && ok {
+            return;
+        }
+        assert!(start.elapsed() < IN_FORCE);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn secrets(name: &str) {
+    let cluster = Cluster::start(name, small()).await;
+    for given in [None, Some("Bearer wrong"), Some(SECRET)] {
+        let mut req = hyper::Request::get("/v1/status").header("host", "admin");
+        if let Some(value) = given {
+            req = req.header("authorization", value);
+        }
+        let req = req.body(mulberryspur::http::full("")).unwrap();
+        let admin = cluster.entries[0].admin;
+        let limit = Duration::from_secs(2);
+        let answer = mulberryspur::pool::call(&cluster.pool, "a", admin, req, limit).await.unwrap();
+        assert_eq!(answer.0, StatusCode::UNAUTHORIZED, "{given:?}");
+    }
+    for path in ["/livez", "/readyz"] {
+        let (status, _) = cluster.admin(0, Method::GET, path, "").await.unwrap();
+        assert_eq!(status, StatusCode::OK, "{path}");
+    }
+    for entry in &cluster.entries {
+        assert!(!entry.process.log_text().contains(SECRET));
+    }
+}
+
+async fn malformed(name: &str) {
+    let cluster = Cluster::start(name, small()).await;
+    let before = wait_for_equal_revisions(&cluster).await;
+    let bodies = [
+        "",
+        "{",
+        "[]",
+        "{\"apply\": 1}",
+        "{\"apply\": [{\"resource\": {\"kind\": \"Service\"}}]}",
+        "{\"apply\": [{\"resource\": {\"kind\": \"Shop\", \"name\": \"a\"}}]}",
+        "{\"apply\": [{\"resource\": {\"kind\": \"Service\", \"name\": \"ok\"}}, {\"resource\": \
+          {\"kind\": \"Route\", \"name\": \"r\", \"service\": \"missing\", \"path\": \"/\"}}]}",
+        "\u{0}\u{1}",
+    ];
+    for body in bodies {
+        let (status, text) = cluster.admin(0, Method::POST, "/v1/change", body).await.unwrap();
+        assert!(status.is_client_error(), "{body:?}: {status} {text}");
+        let reply: Value = serde_json::from_str(&text).unwrap();
+        assert!(reply["error"].as_str().is_some_and(|e| !e.is_empty()), "{body:?}: {text}");
+    }
+    assert_eq!(wait_for_equal_revisions(&cluster).await, before);
+}
+
+fn ctl(cluster: &Cluster, args: &[&str]) -> Output {
+    let admins: Vec<String> = cluster.entries.iter().map(|e| e.admin.to_string()).collect();
+    Command::new(env!("CARGO_BIN_EXE_mulberryctl"))
+        .args(["--admin", &admins.join(","), "--secret", SECRET])
+        .args(args)
+        .output()
+        .expect("run the tool")
+}
+
+fn ok(cluster: &Cluster, args: &[&str]) -> String {
+    let out = ctl(cluster, args);
+    let text = String::from_utf8_lossy(&out.stdout).into_owned();
+    assert!(out.status.success(), "{args:?}: {text}{}", String::from_utf8_lossy(&out.stderr));
+    text
+}
+
+fn write(dir: &Path, name: &str, text: &str) -> String {
+    let file = dir.join(name);
+    std::fs::write(&file, text).unwrap();
+    file.display().to_string()
+}
+
+async fn day_of_work(name: &str) {
+    let cluster = Cluster::start(name, small()).await;
+    let new =
+        write(&cluster.dir, "new.jsonc", "// new\n{\"kind\": \"Service\", \"name\": \"late\"}");
+    assert_eq!(ctl(&cluster, &["diff", &new]).status.code(), Some(8));
+    assert!(ok(&cluster, &["apply", &new, "--wait"]).contains("in force on 3 instances"));
+    assert_eq!(ctl(&cluster, &["diff", &new]).status.code(), Some(0));
+    assert_eq!(ctl(&cluster, &["apply", &new, "--expect", "0"]).status.code(), Some(3));
+    assert!(ok(&cluster, &["get", "Service/late"]).contains("\"late\""));
+    assert_eq!(ctl(&cluster, &["get", "Service/none"]).status.code(), Some(5));
+    let bad = write(&cluster.dir, "bad.json", "{\"kind\": \"Service\",\n \"nam\": \"x\"}");
+    let out = ctl(&cluster, &["apply", &bad]);
+    assert_eq!(out.status.code(), Some(4));
+    let text = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(text.contains("bad.json:2") && text.contains("`nam`"), "{text}");
+    let listed = ok(&cluster, &["list", "Upstream", "-o", "json"]);
+    let listed: Value = serde_json::from_str(&listed).unwrap();
+    assert_eq!(listed["resources"].as_array().unwrap().len(), 4);
+    ok(&cluster, &["drain", "fold-0", "--wait"]);
+    ok(&cluster, &["undrain", "fold-0", "--wait"]);
+    assert!(ok(&cluster, &["status"]).contains("foldbook@dc-1"));
+    cluster.request(0, Method::GET, "/patterns/a", &[]).await.unwrap();
+    assert!(ok(&cluster, &["burn"]).contains("foldbook: availability"));
+    ok(&cluster, &["delete", "Service/late"]);
+    assert!(ok(&cluster, &["completions", "bash"]).contains("mulberryctl"));
+    assert_eq!(ctl(&cluster, &["nonsense"]).status.code(), Some(2));
+}
+
+async fn record(name: &str) {
+    let mut cluster = Cluster::start(name, small()).await;
+    for n in 0..20 {
+        let id = format!("order-{n}");
+        let headers = [(mulberryspur::wire::REQUEST_ID, id.as_str())];
+        cluster.request(n % 3, Method::POST, "/orders", &headers).await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    // The lines of a lost instance are there as well.
+    cluster.entries[2].process.kill();
+    cluster.entries.truncate(2);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    ok(&cluster, &["record", "verify"]);
+    let shown = ok(&cluster, &["record", "show", "--event", "request"]);
+    for n in 0..20 {
+        assert!(shown.contains(&format!("\"order-{n}\"")), "order-{n} is missing");
+    }
+    assert!(ok(&cluster, &["record", "show"]).contains("\"ownership\""));
+    let copy = cluster.dir.join("copy");
+    ok(&cluster, &["record", "save", &copy.display().to_string()]);
+    let verify = ["record", "verify", "--dir", &copy.display().to_string()];
+    ok(&cluster, &verify);
+    let chain = std::fs::read_dir(&copy).unwrap().next().unwrap().unwrap().path();
+    let mut files: Vec<_> = std::fs::read_dir(&chain).unwrap().map(|f| f.unwrap().path()).collect();
+    files.sort();
+    let text = std::fs::read_to_string(&files[0]).unwrap();
+    std::fs::write(&files[0], text.replacen("\"at\":", "\"at\":1", 1)).unwrap();
+    assert_eq!(ctl(&cluster, &verify).status.code(), Some(7));
+}
+
+async fn hostile_headers(name: &str) {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let settings = json!({"limits": {"header_read_ms": 300, "header_bytes": 8192}});
+    let cluster = Cluster::start(name, Plan { settings, ..small() }).await;
+    let mut slow = tokio::net::TcpStream::connect(cluster.entries[0].listen).await.unwrap();
+    slow.write_all(b"GET /patterns/a HTTP/1.1\r\nhost: a\r\n").await.unwrap();
+    let mut buf = Vec::new();
+    let closed = tokio::time::timeout(Duration::from_secs(3), slow.read_to_end(&mut buf)).await;
+    assert!(closed.is_ok(), "a connection without headers stays open");
+    let mut large = tokio::net::TcpStream::connect(cluster.entries[0].listen).await.unwrap();
+    let head = format!("GET / HTTP/1.1\r\nhost: a\r\nx: {}\r\n\r\n", "a".repeat(100_000));
+    let _ = large.write_all(head.as_bytes()).await;
+    let mut buf = [0; 64];
+    let n = large.read(&mut buf).await.unwrap_or(0);
+    let start = String::from_utf8_lossy(&buf[..n]).into_owned();
+    assert!(n == 0 || start.starts_with("HTTP/1.1 431"), "{start}");
+    let (status, _, _) = cluster.request(0, Method::GET, "/patterns/a", &[]).await.unwrap();
+    assert_eq!(status, StatusCode::OK);
+}
+
+/// Keys of a lost data centre answer at once that they were not run; the others are served.
+async fn data_centre_lost(name: &str) {
+    let plan = Plan {
+        entries: vec!["dc-1", "dc-1", "dc-2", "dc-2"],
+        keyed: vec!["dc-1", "dc-1", "dc-2", "dc-2"],
+        ..small()
+    };
+    let mut cluster = Cluster::start(name, plan).await;
+    let mut home = Vec::new();
+    for n in 0..16 {
+        let key = format!("key-{n}");
+        let owner = cluster.owner(0, &key).await;
+        home.push((key, cluster.upstreams[owner].data_center.clone()));
+    }
+    for entry in [2, 3] {
+        cluster.entries[entry].process.kill();
+    }
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    for (key, dc) in home {
+        let start = Instant::now();
+        let path = format!("/patterns/{key}");
+        let (status, headers, _) = cluster.request(0, Method::GET, &path, &[]).await.unwrap();
+        if dc == "dc-1" {
+            assert_eq!(status, StatusCode::OK, "{key}");
+        } else {
+            assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{key}");
+            assert_eq!(headers[mulberryspur::wire::OUTCOME], "not-run");
+            assert!(headers.contains_key("retry-after"));
+            assert!(
+                start.elapsed() < Duration::from_millis(500),
+                "held back: {:?}",
+                start.elapsed()
+            );
+        }
+    }
+}
+
+/// A data centre that is cut off from the platform goes on serving its keys.
+async fn data_centre_cut(name: &str) {
+    let plan = Plan {
+        entries: vec!["dc-1", "dc-1", "dc-2", "dc-2"],
+        keyed: vec!["dc-1", "dc-1", "dc-2", "dc-2"],
+        ..small()
+    };
+    let cluster = Cluster::start(name, plan).await;
+    cluster.platform_faults(json!({ "cut": ["dc-2"] })).await;
+    let listen: Vec<_> = cluster.entries.iter().map(|e| e.listen).collect();
+    let load = support::load::Load::start(&listen, 4, 32, Duration::from_millis(5));
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let answers = load.stop().await;
+    let failed: Vec<_> = answers.iter().filter(|a| a.status != Some(200)).collect();
+    assert!(failed.is_empty(), "{failed:#?}");
+    cluster.check(&answers);
+}
+
+/// Entry instances enforce ownership for upstreams that check nothing.
+async fn unchecked(name: &str) {
+    let plan = Plan { fenced: false, ..Plan::default() };
+    let mut cluster = Cluster::start(name, plan).await;
+    let owner = cluster.owner(0, "key-1").await;
+    let listen: Vec<_> = cluster.entries.iter().map(|e| e.listen).collect();
+    let load = support::load::Load::start(&listen, 8, 64, Duration::from_millis(2));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    cluster.upstreams[owner].process.kill();
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    for key in 0..64 {
+        let path = format!("/patterns/key-{key}");
+        let (status, _, _) = cluster.request(1, Method::GET, &path, &[]).await.unwrap();
+        assert_eq!(status, StatusCode::OK, "{path}");
+    }
+    cluster.check(&load.stop().await);
+}
+
+/// Pinning a key moves that key alone, and no request of it meets two owners.
+async fn pin(name: &str) {
+    let cluster = Cluster::start(name, small()).await;
+    let mut before = Vec::new();
+    for n in 0..16 {
+        before.push(cluster.owner(0, &format!("key-{n}")).await);
+    }
+    let target = (0..3).find(|n| *n != before[1]).unwrap();
+    let listen: Vec<_> = cluster.entries.iter().map(|e| e.listen).collect();
+    let load = support::load::Load::start(&listen, 8, 16, Duration::from_millis(2));
+    let to = cluster.upstreams[target].process.name.clone();
+    ok(&cluster, &["pin", "foldbook", "key-1", "--to", &to, "--wait"]);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let answers = load.stop().await;
+    let failed: Vec<_> = answers.iter().filter(|a| a.status != Some(200)).collect();
+    assert!(failed.is_empty(), "{failed:#?}");
+    cluster.check(&answers);
+    for (n, owner) in before.into_iter().enumerate() {
+        let expected = if n == 1 { target } else { owner };
+        assert_eq!(cluster.owner(2, &format!("key-{n}")).await, expected, "key-{n}");
+    }
+    ok(&cluster, &["unpin", "foldbook", "key-1", "--wait"]);
+}
--- /dev/null
+++ b/tests/record.rs
@@ -0,0 +1,53 @@
+//! The record's chain shows what was removed, changed or reordered.
+
+use mulberryspur::record::{Record, Verifier};
+use serde_json::json;
+
+fn lines(count: usize) -> Vec<String> {
+    let record = Record::new("entry-1-ab", 1_000);
+    (0..count).for_each(|n| record.note("request", json!({ "n": n })));
+    record.next_batch(1_000).unwrap().lines
+}
+
+fn faults(lines: &[String]) -> Vec<u64> {
+    let mut verifier = Verifier::new();
+    for line in lines {
+        let _ = verifier.line(line);
+    }
+    verifier.into_faults().into_iter().map(|f| f.seq).collect()
+}
+
+macro_rules! tampered {
+    ($($name:ident: $edit:expr => $seqs:expr;)*) => {
+        $(#[test] fn $name() {
+            let mut all = lines(6);
+            let edit: fn(&mut Vec<String>) = $edit;
+            edit(&mut all);
+            let expected: Vec<u64> = $seqs;
+            assert_eq!(faults(&all), expected);
+        })*
+    };
+}
+
+tampered! {
+    untouched: |_| {} => vec![];
+    line_removed: |l| { l.remove(2); } => vec![3];
+    first_line_removed: |l| { l.remove(0); } => vec![1];
+    line_changed: |l| l[2] = l[2].replace("\"n\":2", "\"n\":9") => vec![4];
+    time_changed: |l| l[3] = l[3].replacen("\"at\":", "\"at\":1", 1) => vec![5];
+    lines_swapped: |l| l.swap(1, 2) => vec![2, 2, 3];
+    line_repeated: |l| { let line = l[2].clone(); l.insert(3, line); } => vec![3];
+}
+
+#[test]
+fn lines_wait_until_they_are_stored() {
+    let record = Record::new("entry-1-ab", 3);
+    (0..3).for_each(|n| record.note("request", json!({ "n": n })));
+    assert!(record.is_full());
+    let batch = record.next_batch(2).unwrap();
+    assert_eq!((batch.first, batch.lines.len()), (1, 2));
+    assert_eq!(record.next_batch(2).unwrap(), batch, "not stored: offered again");
+    record.stored(&batch);
+    assert_eq!(record.waiting(), 1);
+    assert_eq!(record.next_batch(2).unwrap().first, 3);
+}
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -84,3 +84,28 @@
     };
     Answer { id: id.to_owned(), method, status, outcome, reason, sent, took: sent.elapsed() }
 }
+
+/// Returns the processor time that a process has used, in seconds.
+pub fn cpu_seconds(pid: u32) -> f64 {
+    const TICKS_PER_SECOND: f64 = 100.0;
+    let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let after_name = text.rsplit(')').next().unwrap_or_default();
+    let fields: Vec<f64> = after_name.split(' ').filter_map(|f| f.parse().ok()).collect();
+    // The state is no number: utime and stime are the 11th and 12th numbers after it.
+    (fields[10] + fields[11]) / TICKS_PER_SECOND
+}
+
+/// Returns the resident memory of a process in megabytes.
+pub fn resident_mb(pid: u32) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap_or("0 kB");
+    let kb: f64 = line.trim().trim_end_matches(" kB").parse().unwrap_or(0.0);
+    kb / 1_000.0
+}
+
+/// Returns the bytes sent over loopback so far, headers included.
+pub fn loopback_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/net/dev").unwrap_or_default();
+    let line = text.lines().find_map(|l| l.trim().strip_prefix("lo:")).unwrap_or_default();
+    line.split_whitespace().nth(8).and_then(|f| f.parse().ok()).unwrap_or(0)
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -60,6 +60,10 @@
         }
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, signal: Signal) {
         let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw).expect("pid");
         let _ = kill_process(pid, signal);
@@ -111,6 +115,8 @@
     pub unkeyed: usize,
     pub slots: u32,
     pub fenced: bool,
+    /// Whether upstreams keep journals.
+    pub journal: bool,
     pub settings: Value,
 }
 
@@ -122,6 +128,7 @@
             unkeyed: 2,
             slots: 32,
             fenced: true,
+            journal: true,
             settings: json!({}),
         }
     }
@@ -149,13 +156,13 @@
 impl Cluster {
     /// Starts everything and waits until keys are served.
     pub async fn start(name: &str, plan: Plan) -> Self {
-        let mut this = Self::start_without_config(name, plan).await;
+        let this = Self::start_without_config(name, plan);
         this.configure().await;
         this.wait_until_served(Duration::from_secs(15)).await;
         this
     }
 
-    pub async fn start_without_config(name: &str, plan: Plan) -> Self {
+    pub fn start_without_config(name: &str, plan: Plan) -> Self {
         let unique = format!("mulberryspur-{name}-{}", std::process::id());
         let dir = std::env::temp_dir().join(unique);
         let _ = std::fs::remove_dir_all(&dir);
@@ -168,8 +175,9 @@
             upstreams: Vec::new(),
             entries: Vec::new(),
             pool: Pool::new(256),
-            plan: plan.clone(),
+            plan,
         };
+        let plan = this.plan.clone();
         for (n, dc) in plan.keyed.iter().enumerate() {
             this.add_upstream(&format!("fold-{n}"), "foldbook", dc, plan.fenced, None);
         }
@@ -192,15 +200,10 @@
     ) {
         let journal = self.dir.join(format!("{name}.journal"));
         let listen = addr.map_or_else(|| "127.0.0.1:0".to_owned(), |a| a.to_string());
-        let mut args = vec![
-            "upstream",
-            "--name",
-            name,
-            "--listen",
-            &listen,
-            "--journal",
-            journal.to_str().unwrap(),
-        ];
+        let mut args = vec!["upstream", "--name", name, "--listen", &listen];
+        if self.plan.journal {
+            args.extend(["--journal", journal.to_str().unwrap()]);
+        }
         if fenced {
             args.push("--fenced");
         }
@@ -237,6 +240,11 @@
         self.entries.len() - 1
     }
 
+    /// Sets additional settings for entries added from now on.
+    pub fn set_settings(&mut self, settings: Value) {
+        self.plan.settings = settings;
+    }
+
     /// Returns the resources for what runs.
     pub fn resources(&self) -> Vec<Value> {
         let mut homes = self.plan.keyed.clone();
