--- /dev/null
+++ b/examples/embed.rs
@@ -0,0 +1,53 @@
+//! The coordination parts alone, without I/O: one controller, two upstreams, one slot that moves.
+//!
+//! `cargo run --example embed`
+
+use mulberryspur::{
+    cell::{CellRow, Owner},
+    controller::{Action, Controller, Enforcer, Inherited, WriteResult},
+    grant::{GrantHolder, Timing},
+};
+use std::collections::BTreeMap;
+
+fn main() {
+    let timing = Timing::default();
+    let row = CellRow { term: 1, controller: 1, ..CellRow::default() };
+    let mut controller =
+        Controller::new("cell", timing, row, 1, Inherited::Until(0), &Enforcer::Owners);
+    let mut holders = [("a", GrantHolder::new(11)), ("b", GrantHolder::new(22))];
+    let owner = |name: &str, boot| Owner { upstream: name.into(), boot };
+    let mut version = 1;
+    for now in (0..3_000).step_by(50) {
+        // The slot starts at "a" and is wanted at "b" after a second.
+        let wanted = if now < 1_000 { owner("a", 11) } else { owner("b", 22) };
+        controller.want(BTreeMap::from([(0, wanted)]));
+        for action in controller.poll(now) {
+            match action {
+                Action::Grant { to, grant } => {
+                    let holder = holders.iter_mut().find(|(name, _)| *name == &*to.upstream);
+                    let (_, holder) = holder.expect("a known upstream");
+                    let reply = holder.on_grant(now, &grant);
+                    controller.on_reply(now, &to, &reply);
+                }
+                // A real caller writes the row to its table, on condition of `expected`.
+                Action::Write { expected, row } => {
+                    version = expected + 1;
+                    let owners = row.owners();
+                    println!("{now:>4} ms: row version {version}, owned by {}", owners[0]);
+                    controller.on_write(WriteResult::Done(version));
+                }
+                Action::Read => controller.on_read(Some((version, controller.row().clone()))),
+                Action::Ask { .. } | Action::HandOver { .. } => {}
+            }
+        }
+        let serving: Vec<&str> = holders
+            .iter()
+            .filter(|(_, h)| h.held(now).next().is_some())
+            .map(|(name, _)| *name)
+            .collect();
+        assert!(serving.len() <= 1, "two owners");
+        if now % 500 == 0 {
+            println!("{now:>4} ms: served by {serving:?}");
+        }
+    }
+}
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -2,69 +2,31 @@
 
 use crate::{
     cell::{CellRow, InstanceId, Owner},
+    cell_io::{CellEvent, CellIo, Side, entry_holder},
     clock::{Millis, boot_millis},
     collections::HashMap,
-    controller::{Action, Ask, Controller, Enforcer, WriteResult},
-    error::{Cause, Error, Result},
-    grant::{Grant, GrantReply},
-    http,
+    controller::{Action, Controller, Enforcer},
+    error::Result,
+    grant::GrantReply,
     instance::Instance,
     membership,
     peer::CellMap,
     placement::{self, Demand},
-    pool,
     registry::ServiceView,
     resource::{Fencing, Ownership, UpstreamState},
     slot::{SlotId, Term, hashed_slot},
     standby::{Standby, StandbyAction},
-    wire,
 };
-use hyper::Request;
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 use tokio::sync::{mpsc, oneshot};
 
 const STANDBYS: usize = 2;
-const CELL_PREFIX: &str = "cell/";
-
-/// Returns the key of a cell's row.
-pub(crate) fn row_key(cell: &str) -> String {
-    format!("{CELL_PREFIX}{cell}")
-}
-
-/// Which state machine a result belongs to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Side {
-    Controller(Term),
-    Standby,
-}
-
-/// Something that concerns a cell.
-#[derive(Debug)]
-pub(crate) enum CellEvent {
-    /// A holder answered a grant.
-    Reply { term: Term, owner: Owner, reply: GrantReply },
-    /// An upstream answered a probe.
-    Probed { upstream: Arc<str>, reply: GrantReply },
-    /// A standby promised.
-    Promise { from: InstanceId, ask: Ask },
-    /// A conditional write ended.
-    Wrote { side: Side, result: WriteResult },
-    /// The row was read, or not.
-    Read { side: Side, read: Result<Option<(u64, CellRow)>> },
-    /// A controller asks for a promise.
-    Ask { ask: Ask, tx: oneshot::Sender<bool> },
-    /// A controller hands the cell over.
-    HandOver { term: Term },
-    /// The instance stops: resign if in control, then answer.
-    ///
-    /// The answer tells whether a standby was told to take over.
-    Stop { tx: oneshot::Sender<bool> },
-}
+/// Time in milliseconds between moves for balance.
+const BALANCE_PAUSE_MS: Millis = 1_000;
 
 /// What the controller's instance knows of an upstream.
 #[derive(Debug, Clone, Copy)]
@@ -80,24 +42,24 @@
     revision: u64,
     row_version: u64,
     live: Vec<Owner>,
-    churn: usize,
 }
 
+/// One instance's part in one cell.
+#[derive(Debug)]
 pub(crate) struct Agent {
-    cell: Arc<str>,
-    service: Arc<str>,
-    instance: Arc<Instance>,
+    io: CellIo,
     standby: Standby,
     controller: Option<Controller>,
     controlled_since: Millis,
     published: u64,
     upstreams: HashMap<Arc<str>, UpstreamView>,
     placed: Option<PlacementBasis>,
+    /// When slots may move for balance again.
+    next_balance: Millis,
     next_probe: Millis,
     stopping: Option<oneshot::Sender<bool>>,
     /// Since when no live instance is responsible for the cell.
     orphaned: Option<Millis>,
-    tx: mpsc::UnboundedSender<CellEvent>,
 }
 
 impl Agent {
@@ -112,27 +74,25 @@
         let enforcer = if unchecked { Enforcer::Entries } else { Enforcer::Owners };
         let standby = Standby::new(instance.id, cell.clone(), instance.cfg.timing, enforcer);
         let agent = Self {
-            cell,
-            service: service.service.name.clone(),
+            io: CellIo { instance, cell, service: service.service.name.clone(), tx: tx.clone() },
             standby,
             controller: None,
             controlled_since: 0,
             published: 0,
             upstreams: HashMap::default(),
             placed: None,
+            next_balance: 0,
             next_probe: 0,
             stopping: None,
             orphaned: None,
-            tx: tx.clone(),
-            instance,
         };
         tokio::spawn(agent.run(rx));
         tx
     }
 
     async fn run(mut self, mut rx: mpsc::UnboundedReceiver<CellEvent>) {
-        let stop = self.instance.stop.clone();
-        let period = Duration::from_millis(self.instance.cfg.timing.renew_ms / 5);
+        let stop = self.io.instance.stop.clone();
+        let period = Duration::from_millis(self.io.instance.cfg.timing.renew_ms / 5);
         let mut tick = tokio::time::interval(period.max(Duration::from_millis(5)));
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
@@ -176,7 +136,7 @@
                 if self.controller.as_ref().is_some_and(|c| c.row().term < ask.term) {
                     self.controller = None;
                 }
-                let free = self.controller.is_none() && !self.instance.is_leaving();
+                let free = self.controller.is_none() && !self.io.instance.is_leaving();
                 let _ = tx.send(free && self.standby.on_ask(now, &ask));
             }
             CellEvent::HandOver { term } => self.standby.on_hand_over(now, term),
@@ -202,7 +162,7 @@
 
     fn on_read(&mut self, now: Millis, side: Side, read: Result<Option<(u64, CellRow)>>) {
         if let Err(e) = &read {
-            log::warn!(cell = &*self.cell; "{e}");
+            log::warn!(cell = &*self.io.cell; "{e}");
         }
         match side {
             Side::Controller(term) => {
@@ -228,11 +188,11 @@
         let Some(c) = controller else { return };
         let row = c.row();
         let (term, version) = (row.term, c.version());
-        log::info!(cell = &*self.cell, term, version; "took control of the cell");
-        self.instance.record.note(
+        log::info!(cell = &*self.io.cell, term, version; "took control of the cell");
+        self.io.instance.record.note(
             "takeover",
             serde_json::json!({
-                "cell": &*self.cell, "term": term, "row_version": version,
+                "cell": &*self.io.cell, "term": term, "row_version": version,
             }),
         );
         self.controlled_since = now;
@@ -244,10 +204,10 @@
     /// Advances both state machines and carries their actions out.
     fn step(&mut self) {
         let now = boot_millis();
-        let known = self.instance.maps.get(&self.cell).map_or(0, |m| m.row.term);
+        let known = self.io.instance.maps.get(&self.io.cell).map_or(0, |m| m.row.term);
         let ended = |c: &Controller| c.has_ended() || c.row().term < known;
         if self.controller.as_ref().is_some_and(ended) {
-            log::info!(cell = &*self.cell; "control of the cell ended");
+            log::info!(cell = &*self.io.cell; "control of the cell ended");
             self.controller = None;
         }
         let standbys = self.choose_standbys(now);
@@ -256,18 +216,20 @@
         } else {
             self.stand_by(now, standbys);
         }
-        self.instance.set_control(&self.cell, self.controller.is_some());
+        self.io.instance.set_control(&self.io.cell, self.controller.is_some());
     }
 
     fn choose_standbys(&self, now: Millis) -> Vec<InstanceId> {
-        let me = self.instance.id;
-        let within = self.instance.cfg.timing.promise_ms;
-        self.instance.with_membership(|m| {
-            let live = m.live(now, within, &self.instance.cfg.data_center);
-            let ids = live.iter().map(|m| m.info.id).filter(|id| *id != me);
-            let ranked = membership::rank(&self.cell, ids);
+        let me = self.io.instance.id;
+        let within = self.io.instance.lost_after();
+        let silent =
+            |id: &InstanceId| self.controller.as_ref().is_some_and(|c| c.is_silent(now, *id));
+        self.io.instance.with_membership(|m| {
+            let live = m.live(now, within, &self.io.instance.cfg.data_center);
+            let ids = live.iter().map(|m| m.info.id).filter(|id| *id != me && !silent(id));
+            let ranked = membership::rank(&self.io.cell, ids);
             let rack = |id| m.get(id).map(|m| m.info.rack.clone()).unwrap_or_default();
-            membership::choose_standbys(&ranked, rack, &self.instance.cfg.rack, STANDBYS)
+            membership::choose_standbys(&ranked, rack, &self.io.instance.cfg.rack, STANDBYS)
         })
     }
 
@@ -277,7 +239,7 @@
         let Some(c) = &mut self.controller else {
             return;
         };
-        c.set_platform_up(self.instance.platform_up());
+        c.set_platform_up(self.io.instance.platform_up());
         c.want_standbys(standbys);
         c.want_entries(entries);
         let term = c.row().term;
@@ -292,30 +254,33 @@
 
     /// Entry instances that enforce grants for upstreams which check none.
     fn entries(&self, now: Millis) -> BTreeSet<Owner> {
-        let within = self.instance.cfg.timing.promise_ms;
-        let mut entries: BTreeSet<Owner> = self.instance.with_membership(|m| {
-            let live = m.live(now, within, &self.instance.cfg.data_center);
+        let within = self.io.instance.lost_after();
+        let mut entries: BTreeSet<Owner> = self.io.instance.with_membership(|m| {
+            let live = m.live(now, within, &self.io.instance.cfg.data_center);
             live.iter().map(|m| entry_holder(m.info.id)).collect()
         });
-        entries.insert(entry_holder(self.instance.id));
+        entries.insert(entry_holder(self.io.instance.id));
         entries
     }
 
     /// Works out which owner each slot of the cell should have, if anything relevant changed.
     fn place(&mut self, now: Millis) {
-        let snapshot = self.instance.registry.current();
-        let service = snapshot.service(&self.service);
+        let snapshot = self.io.instance.registry.current();
+        let service = snapshot.service(&self.io.service);
         let ownership = service.and_then(|s| s.ownership.as_ref());
         let (Some(service), Some(ownership)) = (service, ownership) else { return };
         let Some(c) = &mut self.controller else {
             return;
         };
-        let dc = &self.instance.cfg.data_center;
-        let silent_after = self.instance.cfg.timing.silent_after();
+        let dc = &self.io.instance.cfg.data_center;
+        let silent_after = self.io.instance.cfg.timing.silent_after();
         let grace = now < self.controlled_since + silent_after;
         let mut live = Vec::new();
         for u in service.upstreams_in(dc) {
-            if u.state == UpstreamState::Draining || self.instance.is_listed_leaving(&u.name) {
+            if u.state == UpstreamState::Stopped {
+                c.on_stopped(&u.name);
+            }
+            if u.state != UpstreamState::Active || self.io.instance.is_listed_leaving(&u.name) {
                 continue;
             }
             match self.upstreams.get(&u.name) {
@@ -327,19 +292,23 @@
                 _ => {}
             }
         }
-        let churn = if grace { 0 } else { ownership.churn as usize };
-        let basis =
-            PlacementBasis { revision: snapshot.revision, row_version: c.version(), live, churn };
-        if self.placed.as_ref() == Some(&basis) {
+        let churn = if grace || now < self.next_balance { 0 } else { ownership.churn as usize };
+        let basis = PlacementBasis { revision: snapshot.revision, row_version: c.version(), live };
+        if self.placed.as_ref() == Some(&basis) && churn == 0 {
             return;
         }
         let demand = Demand {
             slots: &ownership.slots_in(dc),
+            intended: c.wanted(),
             live: &basis.live,
             pinned: &pinned(ownership),
             churn,
         };
-        c.want(placement::place(c.row(), &demand));
+        if churn > 0 {
+            self.next_balance = now + BALANCE_PAUSE_MS;
+        }
+        let wanted = placement::place(c.row(), &demand);
+        c.want(wanted);
         let pins = ownership.pinned_keys();
         let affected = affected_slots(ownership, &c.row().pins, &pins);
         c.want_pins(pins, affected);
@@ -348,13 +317,13 @@
 
     fn act(&self, term: Term, action: Action) {
         match action {
-            Action::Grant { to, grant } => self.send_grant(term, to, grant),
-            Action::Ask { to, ask } => self.send_ask(to, ask),
+            Action::Grant { to, grant } => self.io.send_grant(term, to, grant),
+            Action::Ask { to, ask } => self.io.send_ask(to, ask),
             Action::Write { expected, row } => {
-                self.write(Side::Controller(term), expected, row);
+                self.io.write(Side::Controller(term), expected, row);
             }
-            Action::Read => self.read(Side::Controller(term)),
-            Action::HandOver { to, term } => self.send_hand_over(to, term),
+            Action::Read => self.io.read(Side::Controller(term)),
+            Action::HandOver { to, term } => self.io.send_hand_over(to, term),
         }
     }
 
@@ -362,20 +331,20 @@
         if let Some(tx) = self.stopping.take() {
             let _ = tx.send(false);
         }
-        if self.instance.is_leaving() {
+        if self.io.instance.is_leaving() {
             return;
         }
         self.standby.want_standbys(standbys);
         if self.is_orphaned(now) && !self.standby.is_taking_over() {
-            let lost = self.instance.maps.get(&self.cell).map_or(0, |m| m.row.term);
-            log::info!(cell = &*self.cell, lost; "takes over as an outsider");
+            let lost = self.io.instance.maps.get(&self.io.cell).map_or(0, |m| m.row.term);
+            log::info!(cell = &*self.io.cell, lost; "takes over as an outsider");
             self.standby.start_as_outsider(lost);
             self.orphaned = None;
         }
         match self.standby.poll(now) {
-            Some(StandbyAction::Read) => self.read(Side::Standby),
+            Some(StandbyAction::Read) => self.io.read(Side::Standby),
             Some(StandbyAction::Write { expected, row }) => {
-                self.write(Side::Standby, expected, row);
+                self.io.write(Side::Standby, expected, row);
             }
             None => {}
         }
@@ -384,18 +353,18 @@
     /// Returns whether nobody who may control the cell has been alive for long, and it is this
     /// instance's turn.
     fn is_orphaned(&mut self, now: Millis) -> bool {
-        let t = &self.instance.cfg.timing;
-        let row = self.instance.maps.get(&self.cell).map(|m| m.row);
-        let within = t.promise_ms + t.silent_after();
-        let (responsible, first) = self.instance.with_membership(|m| {
-            let live = m.live(now, within, &self.instance.cfg.data_center);
+        let t = &self.io.instance.cfg.timing;
+        let row = self.io.instance.maps.get(&self.io.cell).map(|m| m.row);
+        let within = self.io.instance.lost_after();
+        let (responsible, first) = self.io.instance.with_membership(|m| {
+            let live = m.live(now, within, &self.io.instance.cfg.data_center);
             let alive = |id: &InstanceId| live.iter().any(|m| m.info.id == *id);
             let listed = |r: &CellRow| alive(&r.controller) || r.standbys.iter().any(alive);
-            let ids = live.iter().map(|m| m.info.id).chain([self.instance.id]);
-            let first = membership::rank(&self.cell, ids).first() == Some(&self.instance.id);
+            let ids = live.iter().map(|m| m.info.id).chain([self.io.instance.id]);
+            let first = membership::rank(&self.io.cell, ids).first() == Some(&self.io.instance.id);
             (row.as_ref().is_some_and(|r| listed(r)), first)
         });
-        if responsible || !self.instance.is_settled(now) {
+        if responsible || !self.io.instance.is_settled(now) {
             self.orphaned = None;
             return false;
         }
@@ -413,16 +382,16 @@
             return;
         }
         let now = boot_millis();
-        let within = self.instance.cfg.timing.promise_ms;
-        let live: Vec<InstanceId> = self.instance.with_membership(|m| {
-            let live = m.live(now, within, &self.instance.cfg.data_center);
+        let within = self.io.instance.lost_after();
+        let live: Vec<InstanceId> = self.io.instance.with_membership(|m| {
+            let live = m.live(now, within, &self.io.instance.cfg.data_center);
             live.iter().map(|m| m.info.id).collect()
         });
         let first = c.row().standbys.iter().find(|s| live.contains(s)).copied();
         let action = first.and_then(|to| c.resign(to));
         let handed_over = action.is_some();
         if let Some(Action::HandOver { to, term }) = action {
-            self.send_hand_over(to, term);
+            self.io.send_hand_over(to, term);
         }
         if (handed_over || first.is_none())
             && let Some(tx) = self.stopping.take()
@@ -439,15 +408,15 @@
         self.published = c.version();
         let (version, row) = (c.version(), c.row().clone());
         self.learn(version, &row);
-        let map = CellMap { cell: self.cell.clone(), version, row: Arc::new(row) };
-        self.instance.push_map(&map);
+        let map = CellMap { cell: self.io.cell.clone(), version, row: Arc::new(row) };
+        self.io.instance.push_map(&map);
     }
 
     /// Makes a committed row known to this instance, and records what changed.
     fn learn(&self, version: u64, row: &CellRow) {
-        let before = self.instance.maps.get(&self.cell);
-        let map = CellMap { cell: self.cell.clone(), version, row: Arc::new(row.clone()) };
-        if !self.instance.maps.offer(map) || row.controller != self.instance.id {
+        let before = self.io.instance.maps.get(&self.io.cell);
+        let map = CellMap { cell: self.io.cell.clone(), version, row: Arc::new(row.clone()) };
+        if !self.io.instance.maps.offer(map) || row.controller != self.io.instance.id {
             return;
         }
         let old = before.map(|m| m.row);
@@ -457,11 +426,11 @@
         let changed = row.slots.iter().filter(|(s, a)| !same(s, a.epoch));
         let moves: Vec<_> = changed.map(|(s, a)| (s, a.epoch, a.owner.to_string())).collect();
         if !moves.is_empty() {
-            log::info!(cell = &*self.cell, version, slots = moves.len(); "ownership changed");
-            self.instance.record.note(
+            log::info!(cell = &*self.io.cell, version, slots = moves.len(); "ownership changed");
+            self.io.instance.record.note(
                 "ownership",
                 serde_json::json!({
-                    "cell": &*self.cell, "term": row.term, "row_version": version, "slots": moves,
+                    "cell": &*self.io.cell, "term": row.term, "row_version": version, "slots": moves,
                 }),
             );
         }
@@ -472,130 +441,20 @@
         if now < self.next_probe {
             return;
         }
-        self.next_probe = now + self.instance.cfg.timing.renew_ms;
+        self.next_probe = now + self.io.instance.cfg.timing.renew_ms;
         let Some(c) = &self.controller else { return };
         let owners = c.row().owners();
-        let snapshot = self.instance.registry.current();
-        let Some(service) = snapshot.service(&self.service) else {
+        let snapshot = self.io.instance.registry.current();
+        let Some(service) = snapshot.service(&self.io.service) else {
             return;
         };
-        let dc = &self.instance.cfg.data_center;
+        let dc = &self.io.instance.cfg.data_center;
         for u in service.upstreams_in(dc) {
-            let unchecked = u.fencing == Fencing::Unchecked;
-            if !unchecked && owners.iter().any(|o| o.upstream == u.name) {
-                continue;
+            if u.fencing == Fencing::Unchecked || !owners.iter().any(|o| o.upstream == u.name) {
+                self.io.probe(term, u);
             }
-            let probe =
-                Grant { cell: self.cell.clone(), boot: 0, term, version: 0, until: 0, slots: None };
-            let (instance, tx) = (self.instance.clone(), self.tx.clone());
-            let (upstream, addr) = (u.name.clone(), u.address);
-            tokio::spawn(async move {
-                let reply = if unchecked {
-                    probe_unchecked(&instance, addr).await
-                } else {
-                    post_grant(&instance, addr, &probe).await
-                };
-                if let Ok(reply) = reply {
-                    let _ = tx.send(CellEvent::Probed { upstream, reply });
-                }
-            });
         }
     }
-
-    fn send_grant(&self, term: Term, to: Owner, grant: Grant) {
-        let (instance, tx) = (self.instance.clone(), self.tx.clone());
-        let entry = entry_id(&to);
-        let snapshot = self.instance.registry.current();
-        let addr = match entry {
-            Some(id) => instance.peer_address(id),
-            None => snapshot
-                .service(&self.service)
-                .and_then(|s| s.upstream(&to.upstream))
-                .map(|u| u.address),
-        };
-        if entry == Some(instance.id) {
-            let reply = instance.on_route_grant(&grant);
-            let _ = tx.send(CellEvent::Reply { term, owner: to, reply });
-            return;
-        }
-        let Some(addr) = addr else { return };
-        tokio::spawn(async move {
-            let reply = match entry {
-                Some(_) => instance.send_route_grant(addr, grant).await,
-                None => post_grant(&instance, addr, &grant).await,
-            };
-            match reply {
-                Ok(reply) => {
-                    let _ = tx.send(CellEvent::Reply { term, owner: to, reply });
-                }
-                Err(e) => log::debug!(holder = to.to_string(); "{e}"),
-            }
-        });
-    }
-
-    fn send_ask(&self, to: InstanceId, ask: Ask) {
-        let Some(addr) = self.instance.peer_address(to) else {
-            return;
-        };
-        let (instance, tx, cell) = (self.instance.clone(), self.tx.clone(), self.cell.clone());
-        let limit = Duration::from_millis(instance.cfg.timing.promise_ms);
-        tokio::spawn(async move {
-            let asked = instance
-                .links
-                .call("ask for promise", addr, limit, |client, cx| async move {
-                    client.ask(cx, cell, ask.into()).await
-                })
-                .await;
-            if matches!(asked, Ok(true)) {
-                let _ = tx.send(CellEvent::Promise { from: to, ask });
-            }
-        });
-    }
-
-    fn send_hand_over(&self, to: InstanceId, term: Term) {
-        let Some(addr) = self.instance.peer_address(to) else {
-            return;
-        };
-        let (instance, cell) = (self.instance.clone(), self.cell.clone());
-        let limit = Duration::from_millis(instance.cfg.timing.promise_ms);
-        tokio::spawn(async move {
-            let sent = instance
-                .links
-                .call("hand over", addr, limit, |client, cx| async move {
-                    client.hand_over(cx, cell, term).await
-                })
-                .await;
-            if let Err(e) = sent {
-                log::warn!("{e}");
-            }
-        });
-    }
-
-    fn read(&self, side: Side) {
-        let (instance, tx, cell) = (self.instance.clone(), self.tx.clone(), self.cell.clone());
-        tokio::spawn(async move {
-            let read = instance.platform.typed_row::<CellRow>(&row_key(&cell)).await;
-            instance.note_platform(read.is_ok());
-            let _ = tx.send(CellEvent::Read { side, read });
-        });
-    }
-
-    fn write(&self, side: Side, expected: u64, row: CellRow) {
-        let (instance, tx, cell) = (self.instance.clone(), self.tx.clone(), self.cell.clone());
-        tokio::spawn(async move {
-            let written = instance.platform.put(&row_key(&cell), expected, &row).await;
-            let result = match &written {
-                Ok(version) => WriteResult::Done(*version),
-                Err(e) if matches!(e.cause(), Cause::Conflict { .. }) => WriteResult::Conflict,
-                Err(e) => {
-                    log::warn!(cell = &*cell; "{e}");
-                    WriteResult::Unknown
-                }
-            };
-            instance.note_platform(result != WriteResult::Unknown);
-            let _ = tx.send(CellEvent::Wrote { side, result });
-        });
-    }
 }
 
 /// Returns the slots of pinned keys that should be on a named upstream.
@@ -620,53 +479,3 @@
     }
     affected
 }
-
-const ENTRY_PREFIX: &str = "entry:";
-
-/// Returns the holder that stands for an entry instance.
-fn entry_holder(id: InstanceId) -> Owner {
-    Owner { upstream: format!("{ENTRY_PREFIX}{id:x}").into(), boot: id }
-}
-
-/// Returns the entry instance that a holder stands for.
-fn entry_id(owner: &Owner) -> Option<InstanceId> {
-    owner.upstream.starts_with(ENTRY_PREFIX).then_some(owner.boot)
-}
-
-/// Sends a grant to an upstream.
-async fn post_grant(instance: &Instance, addr: SocketAddr, grant: &Grant) -> Result<GrantReply> {
-    let step = "send grant";
-    let body = serde_json::to_vec(grant).map_err(|e| Error::invalid(step, e.to_string()))?;
-    let req = Request::post(wire::GRANT_PATH)
-        .header("host", "u")
-        .body(http::full(body))
-        .map_err(|e| Error::invalid(step, e.to_string()))?;
-    let limit = Duration::from_millis(instance.cfg.timing.promise_ms);
-    let (status, _, bytes) = pool::call(&instance.control, step, addr, req, limit).await?;
-    let decoded = serde_json::from_slice(&bytes).ok().filter(|_| status.is_success());
-    decoded.ok_or_else(|| {
-        let text = String::from_utf8_lossy(&bytes[..bytes.len().min(200)]).into_owned();
-        let cause = Cause::Status { status: status.as_u16(), text };
-        Error::new(step, addr.to_string(), cause)
-    })
-}
-
-/// Asks an upstream that takes no grants whether it is there; any answer will do.
-async fn probe_unchecked(instance: &Instance, addr: SocketAddr) -> Result<GrantReply> {
-    let step = "probe upstream";
-    let req = Request::get("/health")
-        .header("host", "u")
-        .body(http::full(""))
-        .map_err(|e| Error::invalid(step, e.to_string()))?;
-    let limit = Duration::from_millis(instance.cfg.timing.promise_ms);
-    pool::call(&instance.control, step, addr, req, limit).await?;
-    Ok(GrantReply {
-        boot: 0,
-        clock: 0,
-        term: 0,
-        version: 0,
-        status: crate::grant::GrantStatus::Accepted,
-        draining: Vec::new(),
-        leaving: false,
-    })
-}
--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -182,9 +182,7 @@
 }
 
 fn live_peers(instance: &Instance, dc: &str) -> Vec<InstanceInfo> {
-    let t = &instance.cfg.timing;
-    // Other data centres are heard of less often.
-    let within = 8 * t.renew_ms + t.promise_ms;
+    let within = instance.lost_after();
     let now = boot_millis();
     instance.with_membership(|m| m.live(now, within, dc).iter().map(|m| m.info.clone()).collect())
 }
--- a/src/bin/mulberryctl/app.rs
+++ b/src/bin/mulberryctl/app.rs
@@ -47,6 +47,7 @@
         "watch" => watch(cfg, &client, sub).await,
         "delete" => delete(&client, sub).await,
         "drain" => set_state(&client, sub, UpstreamState::Draining).await,
+        "stopped" => set_state(&client, sub, UpstreamState::Stopped).await,
         "undrain" => set_state(&client, sub, UpstreamState::Active).await,
         "pin" => pin(&client, sub).await,
         "unpin" => unpin(&client, sub).await,
--- a/src/bin/mulberryctl/clap_app.rs
+++ b/src/bin/mulberryctl/clap_app.rs
@@ -122,6 +122,12 @@
             .about("Send an upstream no new work and move its keys away")
             .arg(upstream())
             .arg(wait()),
+        Command::new("stopped")
+            .about(
+                "Say that an upstream's process has ended, so that its keys need not wait for it",
+            )
+            .arg(upstream())
+            .arg(wait()),
         Command::new("undrain")
             .about("Let an upstream take work again")
             .arg(upstream())
--- /dev/null
+++ b/src/cell_io.rs
@@ -0,0 +1,233 @@
+//! Carries messages of a cell's agent to holders, standbys and the platform, and answers back.
+
+use crate::{
+    cell::{CellRow, InstanceId, Owner},
+    controller::{Ask, WriteResult},
+    error::{Cause, Error, Result},
+    grant::{Grant, GrantReply, GrantStatus},
+    http,
+    instance::Instance,
+    pool,
+    resource::{Fencing, Upstream},
+    slot::Term,
+    wire,
+};
+use hyper::Request;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::sync::{mpsc, oneshot};
+
+const CELL_PREFIX: &str = "cell/";
+const ENTRY_PREFIX: &str = "entry:";
+
+/// Returns the key of a cell's row.
+pub(crate) fn row_key(cell: &str) -> String {
+    format!("{CELL_PREFIX}{cell}")
+}
+
+/// Which state machine a result belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Side {
+    Controller(Term),
+    Standby,
+}
+
+/// Something that concerns a cell.
+#[derive(Debug)]
+pub(crate) enum CellEvent {
+    /// A holder answered a grant.
+    Reply { term: Term, owner: Owner, reply: GrantReply },
+    /// An upstream answered a probe.
+    Probed { upstream: Arc<str>, reply: GrantReply },
+    /// A standby promised.
+    Promise { from: InstanceId, ask: Ask },
+    /// A conditional write ended.
+    Wrote { side: Side, result: WriteResult },
+    /// The row was read, or not.
+    Read { side: Side, read: Result<Option<(u64, CellRow)>> },
+    /// A controller asks for a promise.
+    Ask { ask: Ask, tx: oneshot::Sender<bool> },
+    /// A controller hands the cell over.
+    HandOver { term: Term },
+    /// The instance stops: resign if in control, then answer.
+    ///
+    /// The answer tells whether a standby was told to take over.
+    Stop { tx: oneshot::Sender<bool> },
+}
+
+/// Carries the messages of one cell's agent.
+#[derive(Debug)]
+pub(crate) struct CellIo {
+    pub instance: Arc<Instance>,
+    pub cell: Arc<str>,
+    pub service: Arc<str>,
+    pub tx: mpsc::UnboundedSender<CellEvent>,
+}
+
+impl CellIo {
+    /// Sends a grant to an upstream or an entry instance.
+    pub fn send_grant(&self, term: Term, to: Owner, grant: Grant) {
+        let (instance, tx) = (self.instance.clone(), self.tx.clone());
+        let entry = entry_id(&to);
+        let snapshot = instance.registry.current();
+        let addr = match entry {
+            Some(id) => instance.peer_address(id),
+            None => snapshot
+                .service(&self.service)
+                .and_then(|s| s.upstream(&to.upstream))
+                .map(|u| u.address),
+        };
+        if entry == Some(instance.id) {
+            let reply = instance.on_route_grant(&grant);
+            let _ = tx.send(CellEvent::Reply { term, owner: to, reply });
+            return;
+        }
+        let Some(addr) = addr else { return };
+        tokio::spawn(async move {
+            let reply = match entry {
+                Some(_) => instance.send_route_grant(addr, grant).await,
+                None => post_grant(&instance, addr, &grant).await,
+            };
+            match reply {
+                Ok(reply) => {
+                    let _ = tx.send(CellEvent::Reply { term, owner: to, reply });
+                }
+                Err(e) => log::debug!(holder = to.to_string(); "{e}"),
+            }
+        });
+    }
+
+    /// Asks a standby for a promise.
+    pub fn send_ask(&self, to: InstanceId, ask: Ask) {
+        let Some(addr) = self.instance.peer_address(to) else {
+            return;
+        };
+        let (instance, tx, cell) = (self.instance.clone(), self.tx.clone(), self.cell.clone());
+        let limit = Duration::from_millis(instance.cfg.timing.promise_ms);
+        tokio::spawn(async move {
+            let asked = instance
+                .links
+                .call("ask for promise", addr, limit, |client, cx| async move {
+                    client.ask(cx, cell, ask.into()).await
+                })
+                .await;
+            if matches!(asked, Ok(true)) {
+                let _ = tx.send(CellEvent::Promise { from: to, ask });
+            }
+        });
+    }
+
+    /// Tells a standby to take over at once.
+    pub fn send_hand_over(&self, to: InstanceId, term: Term) {
+        let Some(addr) = self.instance.peer_address(to) else {
+            return;
+        };
+        let (instance, cell) = (self.instance.clone(), self.cell.clone());
+        let limit = Duration::from_millis(instance.cfg.timing.promise_ms);
+        tokio::spawn(async move {
+            let sent = instance
+                .links
+                .call("hand over", addr, limit, |client, cx| async move {
+                    client.hand_over(cx, cell, term).await
+                })
+                .await;
+            if let Err(e) = sent {
+                log::warn!("{e}");
+            }
+        });
+    }
+
+    /// Reads the cell's row.
+    pub fn read(&self, side: Side) {
+        let (instance, tx, cell) = (self.instance.clone(), self.tx.clone(), self.cell.clone());
+        tokio::spawn(async move {
+            let read = instance.platform.typed_row::<CellRow>(&row_key(&cell)).await;
+            instance.note_platform(read.is_ok());
+            let _ = tx.send(CellEvent::Read { side, read });
+        });
+    }
+
+    /// Writes the cell's row on condition of its version.
+    pub fn write(&self, side: Side, expected: u64, row: CellRow) {
+        let (instance, tx, cell) = (self.instance.clone(), self.tx.clone(), self.cell.clone());
+        tokio::spawn(async move {
+            let written = instance.platform.put(&row_key(&cell), expected, &row).await;
+            let result = match &written {
+                Ok(version) => WriteResult::Done(*version),
+                Err(e) if matches!(e.cause(), Cause::Conflict { .. }) => WriteResult::Conflict,
+                Err(e) => {
+                    log::warn!(cell = &*cell; "{e}");
+                    WriteResult::Unknown
+                }
+            };
+            instance.note_platform(result != WriteResult::Unknown);
+            let _ = tx.send(CellEvent::Wrote { side, result });
+        });
+    }
+
+    /// Asks an upstream that holds nothing whether it is there.
+    pub fn probe(&self, term: Term, upstream: &Upstream) {
+        let (instance, tx) = (self.instance.clone(), self.tx.clone());
+        let (name, addr, fencing) = (upstream.name.clone(), upstream.address, upstream.fencing);
+        let cell = self.cell.clone();
+        tokio::spawn(async move {
+            let reply = match fencing {
+                Fencing::Checked => {
+                    let probe = Grant { cell, boot: 0, term, version: 0, until: 0, slots: None };
+                    post_grant(&instance, addr, &probe).await
+                }
+                Fencing::Unchecked => probe_unchecked(&instance, addr).await,
+            };
+            if let Ok(reply) = reply {
+                let _ = tx.send(CellEvent::Probed { upstream: name, reply });
+            }
+        });
+    }
+}
+
+/// Returns the holder that stands for an entry instance.
+pub(crate) fn entry_holder(id: InstanceId) -> Owner {
+    Owner { upstream: format!("{ENTRY_PREFIX}{id:x}").into(), boot: id }
+}
+
+/// Returns the entry instance that a holder stands for.
+fn entry_id(owner: &Owner) -> Option<InstanceId> {
+    owner.upstream.starts_with(ENTRY_PREFIX).then_some(owner.boot)
+}
+
+/// Sends a grant to an upstream.
+async fn post_grant(instance: &Instance, addr: SocketAddr, grant: &Grant) -> Result<GrantReply> {
+    let step = "send grant";
+    let body = serde_json::to_vec(grant).map_err(|e| Error::invalid(step, e.to_string()))?;
+    let req = Request::post(wire::GRANT_PATH)
+        .header("host", "u")
+        .body(http::full(body))
+        .map_err(|e| Error::invalid(step, e.to_string()))?;
+    let limit = Duration::from_millis(instance.cfg.timing.promise_ms);
+    let (status, _, bytes) = pool::call(&instance.control, step, addr, req, limit).await?;
+    let decoded = serde_json::from_slice(&bytes).ok().filter(|_| status.is_success());
+    decoded.ok_or_else(|| {
+        let text = String::from_utf8_lossy(&bytes[..bytes.len().min(200)]).into_owned();
+        let cause = Cause::Status { status: status.as_u16(), text };
+        Error::new(step, addr.to_string(), cause)
+    })
+}
+
+/// Asks an upstream that takes no grants whether it is there; any answer will do.
+async fn probe_unchecked(instance: &Instance, addr: SocketAddr) -> Result<GrantReply> {
+    let step = "probe upstream";
+    let req = Request::get("/health")
+        .header("host", "u")
+        .body(http::full(""))
+        .map_err(|e| Error::invalid(step, e.to_string()))?;
+    let limit = Duration::from_millis(instance.cfg.timing.promise_ms);
+    pool::call(&instance.control, step, addr, req, limit).await?;
+    Ok(GrantReply {
+        boot: 0,
+        clock: 0,
+        term: 0,
+        version: 0,
+        status: GrantStatus::Accepted,
+        draining: Vec::new(),
+        leaving: false,
+    })
+}
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -8,11 +8,13 @@
 //! - grants are sent only while every listed standby has promised not to take over;
 //! - a write whose answer was lost is settled by reading, and re-sent unchanged until it is.
 
+pub use crate::holders::Enforcer;
 use crate::{
     cell::{Assignment, CellRow, InstanceId, Owner},
     clock::Millis,
-    grant::{Grant, GrantReply, GrantStatus, SlotGrant, Timing},
-    slot::{Epoch, SlotId, Term},
+    grant::{Grant, GrantReply, Timing},
+    holders::Holders,
+    slot::{SlotId, Term},
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -88,67 +90,6 @@
     Unbounded,
 }
 
-/// Who is granted slots and refuses what the grants do not cover.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub enum Enforcer {
-    /// The owner itself.
-    Owners,
-    /// Entry instances, each for every slot, because the owners check nothing.
-    Entries,
-}
-
-/// The enforcing side with what it needs.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-enum Enforcing {
-    Owners,
-    Entries {
-        /// Entry instances to grant to, as holders.
-        present: BTreeSet<Owner>,
-        /// Bound on grants of earlier terms to entry instances that this controller never knew.
-        unlisted: Option<Millis>,
-    },
-}
-
-/// What the controller knows of a holder.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Holder {
-    /// Latest reading of the holder's clock and when it arrived here.
-    echo: Option<(Millis, Millis)>,
-    version: u64,
-    slots: BTreeMap<SlotId, Epoch>,
-    /// Whether a first message was sent, to learn the holder's clock.
-    greeted: bool,
-    /// Latest version whose slots were sent.
-    sent: u64,
-    acked: u64,
-    /// No grant sent so far lasts beyond this; `None` while grants of earlier terms are unbounded.
-    bound: Option<Millis>,
-    draining: Vec<SlotId>,
-}
-
-impl Holder {
-    fn new(bound: Option<Millis>) -> Self {
-        Self {
-            echo: None,
-            version: 0,
-            slots: BTreeMap::new(),
-            greeted: false,
-            sent: 0,
-            acked: 0,
-            bound,
-            draining: Vec::new(),
-        }
-    }
-}
-
-/// A slot taken off a holder's list and not yet known to be free.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Release {
-    from: Owner,
-    version: u64,
-    bound: Option<Millis>,
-}
-
 /// A write whose result is not known.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Pending {
@@ -170,11 +111,9 @@
     pending: Option<Pending>,
     /// Until when each standby has promised not to take over, on this clock.
     promises: BTreeMap<InstanceId, Millis>,
-    holders: BTreeMap<Owner, Holder>,
-    releases: BTreeMap<SlotId, Vec<Release>>,
-    enforcing: Enforcing,
-    /// Latest version given to a list.
-    last_list: u64,
+    /// When the latest request that each standby agreed to was sent, or the first one if none was.
+    answered: BTreeMap<InstanceId, Millis>,
+    holders: Holders,
     wanted: BTreeMap<SlotId, Owner>,
     pins: Vec<Arc<str>>,
     /// Slots that keys leave or enter when the wanted pins replace the committed ones.
@@ -205,22 +144,15 @@
             Inherited::Until(t) => Some(t),
             Inherited::Unbounded => None,
         };
-        let mut this = Self {
+        Self {
             me: row.controller,
             cell: cell.into(),
             timing,
             version,
             pending: None,
             promises: BTreeMap::new(),
-            holders: BTreeMap::new(),
-            releases: BTreeMap::new(),
-            enforcing: match enforcer {
-                Enforcer::Owners => Enforcing::Owners,
-                Enforcer::Entries => {
-                    Enforcing::Entries { present: BTreeSet::new(), unlisted: bound }
-                }
-            },
-            last_list: 0,
+            answered: BTreeMap::new(),
+            holders: Holders::new(timing, enforcer, &row, bound),
             wanted: BTreeMap::new(),
             pins: row.pins.clone(),
             affected: BTreeSet::new(),
@@ -232,9 +164,7 @@
             span: (timing.promise_ms, 0),
             ended: false,
             row,
-        };
-        this.list_owned(bound);
-        this
+        }
     }
 
     /// Returns the committed row.
@@ -255,16 +185,10 @@
         self.ended
     }
 
-    /// Returns when a holder last answered, on the local clock.
-    #[must_use]
-    pub fn last_answer(&self, owner: &Owner) -> Option<Millis> {
-        self.holders.get(owner)?.echo.map(|(_, arrived)| arrived)
-    }
-
     /// Returns the number of slots that wait for their former owner.
     #[must_use]
     pub fn releasing(&self) -> usize {
-        self.releases.len()
+        self.holders.releasing()
     }
 
     /// Returns whether grants may be sent at `now`.
@@ -280,6 +204,12 @@
         self.row.standbys.iter().chain(pending).copied().collect()
     }
 
+    /// Returns who should own each slot.
+    #[must_use]
+    pub fn wanted(&self) -> &BTreeMap<SlotId, Owner> {
+        &self.wanted
+    }
+
     /// Sets who should own each slot; slots that are not named stay where they are.
     pub fn want(&mut self, wanted: BTreeMap<SlotId, Owner>) {
         self.wanted = wanted;
@@ -303,8 +233,18 @@
         self.unmet = unmet.map(|(slot, _)| *slot).collect();
     }
 
-    /// Sets who should be listed as standbys.
+    /// Returns whether a standby has left requests for promises unanswered.
+    #[must_use]
+    pub fn is_silent(&self, now: Millis, standby: InstanceId) -> bool {
+        let limit = 2 * self.timing.renew_ms;
+        self.answered.get(&standby).is_some_and(|t| now > t + limit)
+    }
+
+    /// Sets who should be listed as standbys; new ones are asked at the next poll.
     pub fn want_standbys(&mut self, standbys: Vec<InstanceId>) {
+        if standbys.iter().any(|s| !self.answered.contains_key(s)) {
+            self.next_renewal = 0;
+        }
         self.standbys = standbys;
     }
 
@@ -312,13 +252,7 @@
     ///
     /// An entry that is no longer named gets no further grant; what it holds is waited for.
     pub fn want_entries(&mut self, entries: BTreeSet<Owner>) {
-        let Enforcing::Entries { present, .. } = &mut self.enforcing else {
-            return;
-        };
-        if *present != entries {
-            *present = entries;
-            self.list_owned(Some(0));
-        }
+        self.holders.set_entries(entries, &self.row);
     }
 
     /// Notes whether the platform answers; promises are asked for longer while it does not.
@@ -332,26 +266,17 @@
             self.ended = true;
             return;
         }
-        let bound = now + self.timing.longest(self.timing.lease_ms);
-        let Some(h) = self.holders.get_mut(from) else {
-            return;
-        };
-        if reply.boot != from.boot || reply.term != self.row.term {
-            return;
-        }
-        h.echo = h.echo.max(Some((reply.clock, now)));
-        if h.bound.is_none() {
-            // The holder refuses earlier terms from now on, and its limit is at most a lease ahead.
-            h.bound = Some(bound);
-            let from_holder = self.releases.values_mut().flatten().filter(|r| r.from == *from);
-            from_holder.filter(|r| r.bound.is_none()).for_each(|r| r.bound = Some(bound));
-        }
-        if reply.status == GrantStatus::Accepted && reply.version >= h.acked {
-            h.acked = reply.version;
-            h.draining.clone_from(&reply.draining);
+        if reply.term == self.row.term {
+            self.holders.on_reply(now, from, reply);
         }
     }
 
+    /// Takes an operator's word that no process of an upstream runs any more; its slots are free at
+    /// once.
+    pub fn on_stopped(&mut self, upstream: &str) {
+        self.holders.on_stopped(upstream);
+    }
+
     /// Takes a standby's agreement to the request `ask`.
     pub fn on_promise(&mut self, from: InstanceId, ask: &Ask) {
         // Answers from before a change of span may have been replaced by a shorter promise.
@@ -359,6 +284,8 @@
             let until = ask.sent_at + self.timing.shortest(ask.span);
             let known = self.promises.entry(from).or_default();
             *known = until.max(*known);
+            let answered = self.answered.entry(from).or_default();
+            *answered = ask.sent_at.max(*answered);
         }
     }
 
@@ -392,8 +319,7 @@
     fn commit(&mut self, version: u64) {
         let Some(p) = self.pending.take() else { return };
         let old = std::mem::replace(&mut self.row, p.row);
-        let moved = |slot: &SlotId| old.slots.get(slot) != self.row.slots.get(slot);
-        self.releases.retain(|slot, _| !moved(slot));
+        self.holders.on_commit(&old, &self.row);
         self.version = version;
         if self.pins != self.row.pins {
             // What they affect was worked out from the former row.
@@ -401,41 +327,6 @@
             self.affected.clear();
         }
         self.compare();
-        self.list_owned(Some(0));
-    }
-
-    /// Puts every slot of the committed row on the lists of those who enforce it.
-    fn list_owned(&mut self, bound: Option<Millis>) {
-        let mut changed: BTreeSet<Owner> = BTreeSet::new();
-        for (slot, a) in &self.row.slots {
-            if self.releases.contains_key(slot) {
-                continue;
-            }
-            let holders = match &self.enforcing {
-                Enforcing::Owners => std::slice::from_ref(&a.owner).iter().collect(),
-                Enforcing::Entries { present, .. } => present.iter().collect::<Vec<_>>(),
-            };
-            for holder in holders {
-                let h = self.holders.entry(holder.clone()).or_insert_with(|| Holder::new(bound));
-                if h.slots.insert(*slot, a.epoch) != Some(a.epoch) {
-                    changed.insert(holder.clone());
-                }
-            }
-        }
-        self.bump(changed);
-    }
-
-    /// Gives changed lists a version that no list of this term has had.
-    fn bump(&mut self, changed: BTreeSet<Owner>) {
-        if changed.is_empty() {
-            return;
-        }
-        self.last_list += 1;
-        for owner in changed {
-            if let Some(h) = self.holders.get_mut(&owner) {
-                h.version = self.last_list;
-            }
-        }
     }
 
     /// Resigns in favour of a standby; no grant is sent from now on.
@@ -456,84 +347,44 @@
             return actions;
         }
         self.take_off();
-        self.free(now);
+        self.give_back(now);
         actions.extend(self.write(now));
         let due = now >= self.next_renewal;
         if due {
             self.next_renewal = now + self.timing.renew_ms;
             self.ask(now, &mut actions);
-            self.forget_holders(now);
+            self.holders.forget(now);
         }
         if self.has_authority(now) {
-            self.grant(due, &mut actions);
+            let grants = self.holders.grants(&self.cell, self.row.term, due);
+            actions.extend(grants.into_iter().map(|(to, grant)| Action::Grant { to, grant }));
         }
         actions
     }
 
-    /// Takes slots off the lists of their holders where the owner should change.
-    fn take_off(&mut self) {
-        let mut changed: BTreeSet<Owner> = BTreeSet::new();
-        let pinned = self.affected.iter().filter(|_| self.pins != self.row.pins);
-        for slot in self.unmet.iter().chain(pinned) {
-            if !self.row.slots.contains_key(slot) || self.releases.contains_key(slot) {
-                continue;
-            }
-            let mut releases = Vec::new();
-            for (owner, h) in &mut self.holders {
-                if h.slots.remove(slot).is_some() {
-                    let (version, bound) = (self.last_list + 1, h.bound);
-                    releases.push(Release { from: owner.clone(), version, bound });
-                    changed.insert(owner.clone());
-                }
-            }
-            self.releases.insert(*slot, releases);
-        }
-        self.bump(changed);
-    }
-
-    /// Returns whether nobody can serve a slot that was taken off all lists.
-    fn is_free(&self, now: Millis, slot: SlotId, releases: &[Release]) -> bool {
-        let unlisted = match self.enforcing {
-            Enforcing::Owners => Some(0),
-            Enforcing::Entries { unlisted, .. } => unlisted,
-        };
-        unlisted.is_some_and(|t| t <= now)
-            && releases.iter().all(|r| self.is_released(now, slot, r))
+    /// Returns whether a slot waits for a change of pins.
+    fn is_affected(&self, slot: SlotId) -> bool {
+        self.pins != self.row.pins && self.affected.contains(&slot)
     }
 
-    /// Returns whether a former holder can no longer serve the slot.
-    fn is_released(&self, now: Millis, slot: SlotId, r: &Release) -> bool {
-        if r.bound.is_some_and(|t| t <= now) {
-            return true;
-        }
-        let holder = self.holders.get(&r.from);
-        holder.is_some_and(|h| h.acked >= r.version && !h.draining.contains(&slot))
+    /// Takes slots off the lists of their holders where the owner or the pins should change.
+    fn take_off(&mut self) {
+        let pins_change = self.pins != self.row.pins;
+        let affected = self.affected.iter().filter(|_| pins_change);
+        let assigned = |slot: &&SlotId| self.row.slots.contains_key(slot);
+        self.holders.take_off(self.unmet.iter().chain(affected).filter(assigned));
     }
 
-    /// Ends releases of slots that were wanted back before they were reassigned.
-    fn free(&mut self, now: Millis) {
+    /// Gives slots back that were wanted elsewhere but have not been reassigned.
+    fn give_back(&mut self, now: Millis) {
         if self.pending.is_some() {
             return;
         }
-        let stays = |slot: &SlotId| {
-            if self.pins != self.row.pins && self.affected.contains(slot) {
-                return false;
-            }
-            let owner = self.row.slots.get(slot).map(|a| &a.owner);
-            self.wanted.get(slot).is_none_or(|w| Some(w) == owner)
-        };
-        let back: Vec<SlotId> = self
-            .releases
-            .iter()
-            .filter(|(slot, r)| stays(slot) && self.is_free(now, **slot, r))
-            .map(|(slot, _)| *slot)
-            .collect();
-        for slot in &back {
-            self.releases.remove(slot);
-        }
-        if !back.is_empty() {
-            self.list_owned(Some(0));
-        }
+        let (unmet, affected) = (&self.unmet, &self.affected);
+        let pins_change = self.pins != self.row.pins;
+        let leaves = |slot| unmet.contains(&slot) || (pins_change && affected.contains(&slot));
+        let stays = |slot| !leaves(slot);
+        self.holders.give_back(now, &self.row, stays);
     }
 
     fn write(&mut self, now: Millis) -> Option<Action> {
@@ -586,7 +437,7 @@
             let Some(a) = self.row.slots.get(slot) else {
                 continue;
             };
-            if !self.is_free(now, *slot, self.releases.get(slot)?) {
+            if !self.holders.is_free(now, *slot) {
                 return None;
             }
             let owner = self.wanted.get(slot).unwrap_or(&a.owner).clone();
@@ -598,16 +449,13 @@
     /// Returns the assignment that a slot can get now.
     fn next_assignment(&self, now: Millis, slot: SlotId) -> Option<Assignment> {
         let owner = self.wanted.get(&slot)?.clone();
-        if self.pins != self.row.pins && self.affected.contains(&slot) {
+        if self.is_affected(slot) {
             // Committed together with the pins, or newly assigned afterwards.
             return None;
         }
         let epoch = match self.row.slots.get(&slot) {
             None => 1,
-            Some(a) => {
-                let releases = self.releases.get(&slot)?;
-                self.is_free(now, slot, releases).then_some(a.epoch + 1)?
-            }
+            Some(a) => self.holders.is_free(now, slot).then_some(a.epoch + 1)?,
         };
         Some(Assignment { owner, epoch })
     }
@@ -625,56 +473,10 @@
         let mut standbys = self.binding_standbys();
         standbys.extend(&self.standbys);
         self.promises.retain(|s, _| standbys.contains(s));
-        actions.extend(standbys.into_iter().map(|to| Action::Ask { to, ask }));
-    }
-
-    /// Drops holders that hold nothing any more and will get nothing.
-    fn forget_holders(&mut self, now: Millis) {
-        let releases = &self.releases;
-        let enforcing = &self.enforcing;
-        self.holders.retain(|owner, h| {
-            let ended = h.bound.is_some_and(|t| t <= now);
-            let releasing = releases.values().flatten().any(|r| r.from == *owner);
-            match enforcing {
-                Enforcing::Owners => {
-                    !h.slots.is_empty() || releasing || !(ended || h.acked >= h.version)
-                }
-                Enforcing::Entries { present, .. } => present.contains(owner) || !ended,
-            }
-        });
-    }
-
-    fn grant(&mut self, due: bool, actions: &mut Vec<Action>) {
-        let lease = self.timing.lease_ms;
-        for (owner, h) in &mut self.holders {
-            if matches!(&self.enforcing, Enforcing::Entries { present, .. } if !present.contains(owner))
-            {
-                continue;
-            }
-            let behind = h.acked < h.version;
-            let unsent = if h.echo.is_some() { h.sent < h.version } else { !h.greeted };
-            if !due && !unsent {
-                continue;
-            }
-            h.greeted = true;
-            let until = h.echo.map_or(0, |(clock, _)| clock + lease);
-            if let Some((_, arrived)) = h.echo {
-                let bound = arrived + self.timing.longest(lease);
-                h.bound = h.bound.map(|t| t.max(bound));
-            }
-            let slots = (behind && h.echo.is_some()).then(|| {
-                h.sent = h.version;
-                h.slots.iter().map(|(s, e)| SlotGrant { slot: *s, epoch: *e }).collect()
-            });
-            let grant = Grant {
-                cell: self.cell.clone(),
-                boot: owner.boot,
-                term: self.row.term,
-                version: h.version,
-                until,
-                slots,
-            };
-            actions.push(Action::Grant { to: owner.clone(), grant });
+        self.answered.retain(|s, _| standbys.contains(s));
+        for s in &standbys {
+            self.answered.entry(*s).or_insert(now);
         }
+        actions.extend(standbys.into_iter().map(|to| Action::Ask { to, ask }));
     }
 }
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -1,9 +1,10 @@
 //! One daemon process: the state that its parts share, and the tasks that keep it current.
 
 use crate::{
-    agent::{Agent, CellEvent},
+    agent::Agent,
     burn::BurnCounter,
-    cell::{InstanceId, cell_name, split_cell},
+    cell::{InstanceId, cell_name},
+    cell_io::CellEvent,
     clock::{Millis, boot_millis},
     collections::{HashMap, HashSet},
     error::Result,
@@ -34,6 +35,8 @@
 const PLATFORM_LIMIT: Duration = Duration::from_secs(1);
 const RECORD_CAPACITY: usize = 100_000;
 const POOL_LIMIT: usize = 4_096;
+const RENEWALS_PER_HEARTBEAT: Millis = 4;
+const BEATS_PER_ADDRESSES: u64 = 8;
 
 /// One daemon process.
 #[derive(Debug)]
@@ -216,7 +219,7 @@
     /// Returns this instance's position among the live ones of its data centre, and their number.
     pub fn position(&self) -> (usize, usize) {
         let now = boot_millis();
-        let within = self.cfg.timing.promise_ms + self.cfg.timing.silent_after();
+        let within = self.lost_after();
         self.with_membership(|m| {
             let live = m.live(now, within, &self.cfg.data_center);
             let mut ids: Vec<InstanceId> = live.iter().map(|m| m.info.id).collect();
@@ -293,7 +296,8 @@
             let Some(ownership) = &service.ownership else {
                 continue;
             };
-            if !ownership.homes.contains(dc) {
+            // Whether upstreams check grants decides the agent's kind, so there must be one.
+            if !ownership.homes.contains(dc) || service.upstreams.is_empty() {
                 continue;
             }
             let cell = cell_name(&service.service.name, dc);
@@ -356,15 +360,17 @@
 
     pub fn heartbeat(&self) -> Heartbeat {
         let mut cells = self.maps.versions();
-        let local =
-            |cell: &str| split_cell(cell).is_some_and(|(_, dc)| dc == &*self.cfg.data_center);
-        cells.retain(|c| local(&c.cell));
+        let controls = lock(&self.controls).clone();
+        cells.retain(|c| controls.contains(&c.cell));
+        // Addresses change rarely: a share of the heartbeats is enough to spread them.
+        let with_known = self.beats.load(Ordering::Relaxed).is_multiple_of(BEATS_PER_ADDRESSES);
+        let known = |m: &mut Membership| m.all().iter().map(|m| m.info.peer).collect();
         Heartbeat {
             info: self.info(),
             revision: self.registry.current().revision,
-            controls: lock(&self.controls).len(),
+            controls: controls.len(),
             cells,
-            known: self.with_membership(|m| m.all().iter().map(|m| m.info.peer).collect()),
+            known: if with_known { self.with_membership(known) } else { Vec::new() },
             leaving: self.leaving_list(),
         }
     }
@@ -449,19 +455,24 @@
         }
     }
 
-    /// Sends heartbeats: to the own data centre always, to others every fourth time or if `all`.
+    /// Sends the heartbeats that are due, or one to everybody if `all`.
+    ///
+    /// An exchange informs both sides, so of two instances the one with the lower identity sends.
+    /// The other one sends too when it has heard nothing for long.
     pub fn beat(self: &Arc<Self>, all: bool) {
-        let n = self.beats.fetch_add(1, Ordering::Relaxed);
+        self.beats.fetch_add(1, Ordering::Relaxed);
+        let now = boot_millis();
+        let period = self.heartbeat_ms();
         let beat = self.heartbeat();
         let limit = Duration::from_millis(self.cfg.timing.promise_ms);
-        let (addrs, elsewhere) = self.with_membership(|m| {
-            let other = |m: &&Member| m.info.data_center != self.cfg.data_center;
-            let elsewhere: HashSet<SocketAddr> =
-                m.all().into_iter().filter(other).map(|m| m.info.peer).collect();
-            (m.addresses(), elsewhere)
+        let quiet: HashSet<SocketAddr> = self.with_membership(|m| {
+            let heard = |m: &&Member| now < m.heard + period + period / 2;
+            let theirs = |m: &&Member| m.info.id < self.id && heard(m);
+            m.all().into_iter().filter(theirs).map(|m| m.info.peer).collect()
         });
-        let due = |a: &SocketAddr| all || n.is_multiple_of(4) || !elsewhere.contains(a);
-        for addr in addrs.into_iter().filter(|a| *a != self.addresses.peer && due(a)) {
+        let addrs = self.with_membership(|m| m.addresses());
+        let due = |a: &SocketAddr| *a != self.addresses.peer && (all || !quiet.contains(a));
+        for addr in addrs.into_iter().filter(due) {
             let (instance, beat) = (self.clone(), beat.clone());
             tokio::spawn(async move {
                 let call = instance.links.call("heartbeat", addr, limit, |client, cx| async move {
@@ -475,6 +486,17 @@
         }
     }
 
+    /// Returns the time between heartbeats in milliseconds.
+    pub fn heartbeat_ms(&self) -> Millis {
+        RENEWALS_PER_HEARTBEAT * self.cfg.timing.renew_ms
+    }
+
+    /// Returns the time in milliseconds after which an instance that was not heard of counts as
+    /// lost.
+    pub fn lost_after(&self) -> Millis {
+        3 * self.heartbeat_ms()
+    }
+
     // Lines of the record kept for a peer.
 
     pub fn keep_lines(&self, lines: crate::peer::KeptLines) {
--- a/src/peer_server.rs
+++ b/src/peer_server.rs
@@ -1,7 +1,7 @@
 //! The serving side of the protocol between instances.
 
 use crate::{
-    agent::CellEvent,
+    cell_io::CellEvent,
     grant::{Grant, GrantReply},
     instance::Instance,
     peer::{AskWire, CellMap, ConfigWire, Heartbeat, KeptLines, Peer},
@@ -14,8 +14,12 @@
     context::Context,
     server::{BaseChannel, Channel},
 };
-use tokio::{net::TcpListener, sync::oneshot};
+use tokio::{
+    net::TcpListener,
+    sync::{Semaphore, oneshot},
+};
 
+const MAX_CONNECTIONS: usize = 1_024;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 #[derive(Clone)]
@@ -72,7 +76,9 @@
 /// Serves peers until the instance stops.
 pub(crate) async fn serve(instance: Arc<Instance>, listener: TcpListener) {
     let stop = instance.stop.clone();
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
+        let Ok(permit) = permits.clone().acquire_owned().await else { return };
         let accepted = tokio::select! {
             () = stop.cancelled() => return,
             accepted = listener.accept() => accepted,
@@ -83,6 +89,7 @@
         };
         let instance = instance.clone();
         tokio::spawn(async move {
+            let _permit = permit;
             let secret = instance.cfg.secret.clone();
             match transport::accept(stream, move |given| secret.matches(given)).await {
                 Ok(transport) => {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -12,6 +12,8 @@
 pub struct Demand<'a> {
     /// Slots to place.
     pub slots: &'a [SlotId],
+    /// Owners that earlier placements chose and that are not committed yet.
+    pub intended: &'a BTreeMap<SlotId, Owner>,
     /// Owners that may hold slots.
     pub live: &'a [Owner],
     /// Slots that should be on a named upstream.
@@ -30,7 +32,9 @@
     let mut held: HashMap<&Owner, Vec<SlotId>> = demand.live.iter().map(|o| (o, vec![])).collect();
     let mut homeless = Vec::new();
     for slot in demand.slots {
-        let owner = row.slots.get(slot).map(|a| &a.owner);
+        let committed = row.slots.get(slot).map(|a| &a.owner);
+        let intended = demand.intended.get(slot).filter(|o| held.contains_key(o));
+        let owner = intended.or(committed);
         let pin = demand.pinned.get(slot).and_then(|u| find(demand.live, u));
         match (pin, owner) {
             (Some(pin), _) => {
--- a/src/resource.rs
+++ b/src/resource.rs
@@ -167,6 +167,8 @@
     Active,
     /// Gets no new work; its keys move away; work in flight ends.
     Draining,
+    /// By the operator's word, its process has ended and serves nothing any more.
+    Stopped,
 }
 
 /// How the keys of a service are owned.
@@ -182,7 +184,7 @@
     pub pins: Vec<Pin>,
     /// Home data centres; slot n belongs to the one at n modulo their number.
     pub homes: Vec<Arc<str>>,
-    /// Slots that may move at once for balance.
+    /// Slots that may move for balance in a second.
     #[serde(default = "default_churn")]
     pub churn: u32,
 }
@@ -244,11 +246,13 @@
     }
 
     fn check_self(&self) -> Result<()> {
-        check_name(self)?;
+        require(self, is_name(self.name()), "name", NAME_ACCEPTED)?;
         match self {
             Self::Service(s) => check_service(self, s),
             Self::Route(r) => check_route(self, r),
-            Self::Upstream(_) => Ok(()),
+            Self::Upstream(u) => {
+                require(self, is_name(&u.data_center), "data_center", NAME_ACCEPTED)
+            }
             Self::Ownership(o) => check_ownership(self, o),
         }
     }
@@ -291,11 +295,18 @@
     if ok { Ok(()) } else { Err(reject(r, field, accepted)) }
 }
 
-fn check_name(r: &Resource) -> Result<()> {
-    let name = r.name();
+/// What [`is_name`] accepts, for error messages.
+pub(crate) const NAME_ACCEPTED: &str = "accepts 1 to 63 of a-z, 0-9, `-`, `.`, `_`";
+
+/// Returns whether a text may be a name; names stand in keys of the table.
+pub(crate) fn is_name(text: &str) -> bool {
+    (1..=63).contains(&text.len()) && has_name_characters(text)
+}
+
+/// Returns whether a text consists of the characters of names.
+pub(crate) fn has_name_characters(text: &str) -> bool {
     let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-._".contains(c);
-    let ok = !name.is_empty() && name.len() <= 63 && name.chars().all(allowed);
-    require(r, ok, "name", "accepts 1 to 63 of a-z, 0-9, `-`, `.`, `_`")
+    text.chars().all(allowed)
 }
 
 fn check_service(r: &Resource, s: &Service) -> Result<()> {
@@ -330,6 +341,7 @@
     let distinct = o.pins.iter().filter(|p| !p.key.is_empty()).all(|p| seen.insert(&p.key));
     require(r, distinct, "pins", "accepts each key once")?;
     require(r, !o.homes.is_empty(), "homes", "accepts at least one data centre")?;
+    require(r, o.homes.iter().all(|h| is_name(h)), "homes", NAME_ACCEPTED)?;
     require(r, o.churn >= 1, "churn", "accepts 1 or more")
 }
 
--- a/src/tasks.rs
+++ b/src/tasks.rs
@@ -1,8 +1,8 @@
 //! The tasks of a daemon process: heartbeats, polling of the platform, storing of the record.
 
 use crate::{
-    agent,
     cell::CellRow,
+    cell_io,
     clock::{Millis, boot_millis, wall_millis},
     instance::{Instance, LeavingList},
     intents,
@@ -61,7 +61,7 @@
 }
 
 async fn heartbeats(instance: Arc<Instance>) {
-    let mut tick = ticker(Duration::from_millis(instance.cfg.timing.renew_ms));
+    let mut tick = ticker(Duration::from_millis(instance.heartbeat_ms()));
     loop {
         tick.tick().await;
         instance.beat(false);
@@ -77,6 +77,7 @@
 async fn polls(instance: Arc<Instance>) {
     register(&instance).await;
     load(&instance).await;
+    instance.beat(true);
     let mut tick = ticker(POLL);
     let mut n: u64 = 0;
     loop {
@@ -123,11 +124,11 @@
 async fn load(instance: &Arc<Instance>) {
     load_instances(instance).await;
     poll_config(instance).await;
-    match instance.platform.rows(&agent::row_key("")).await {
+    match instance.platform.rows(&cell_io::row_key("")).await {
         Ok(rows) => {
             let suffix = format!("@{}", instance.cfg.data_center);
             for row in rows.into_iter().filter(|r| r.key.ends_with(&suffix)) {
-                let cell = row.key.trim_start_matches(&agent::row_key("")).into();
+                let cell = row.key.trim_start_matches(&cell_io::row_key("")).into();
                 let Ok(value) = serde_json::from_value::<CellRow>(row.value) else {
                     continue;
                 };
@@ -256,7 +257,7 @@
 /// Returns the peer that keeps this instance's unstored lines: the next one by identity.
 fn keeper(instance: &Instance) -> Option<SocketAddr> {
     let now = boot_millis();
-    let within = instance.cfg.timing.promise_ms;
+    let within = instance.lost_after();
     instance.with_membership(|m| {
         let mut live = m.live(now, within, &instance.cfg.data_center);
         live.sort_by_key(|m| (m.info.id < instance.id, m.info.id));
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -51,6 +51,8 @@
     platform_loses_answers: lost_answers;
     upstream_drains: drain;
     upstream_restarts: restart_upstream;
+    order_survives_loss_of_its_entry: order_and_loss;
+    outsider_takes_over: outsider;
 }
 
 struct Loss {
@@ -224,3 +226,92 @@
     tokio::time::sleep(Duration::from_millis(500)).await;
     cluster.check(&load.stop().await);
 }
+
+/// A repeat through another entry, after the first one was lost, never runs a second time.
+async fn order_and_loss(name: &str) {
+    let mut cluster = Cluster::start(name, Plan::default()).await;
+    let order = async |cluster: &Cluster, entry: usize, id: &str, key: &str, work: &str| {
+        let headers = [("x-request-id", id), ("idempotency-key", key)];
+        let path = format!("/orders?work_ms={work}");
+        cluster.request(entry, Method::POST, &path, &headers).await
+    };
+    let (status, headers, body) = order(&cluster, 0, "a1", "done", "0").await.unwrap();
+    assert_eq!(
+        (status.as_u16(), &headers["x-mulberryspur-outcome"]),
+        (200, &"ran".parse().unwrap())
+    );
+    let dying = {
+        let (pool, listen) = (mulberryspur::pool::Pool::new(1), cluster.entries[0].listen);
+        tokio::spawn(async move {
+            let headers = [("x-request-id", "b1"), ("idempotency-key", "cut")];
+            let limit = Duration::from_secs(5);
+            support::send(&pool, listen, Method::POST, "/orders?work_ms=800", &headers, limit).await
+        })
+    };
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    cluster.entries[0].process.kill();
+    assert!(dying.await.unwrap().is_err(), "the entry is gone");
+    let (status, headers, again) = order(&cluster, 1, "a2", "done", "0").await.unwrap();
+    assert_eq!((status.as_u16(), again), (200, body));
+    assert_eq!(headers["x-mulberryspur-replayed"], "true");
+    for entry in [1, 2] {
+        let id = format!("b{}", entry + 1);
+        let (_, headers, _) = order(&cluster, entry, &id, "cut", "800").await.unwrap();
+        assert_eq!(headers["x-mulberryspur-outcome"], "unknown");
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let journals = ["paper-0", "paper-1"].map(|u| cluster.dir.join(format!("{u}.journal")));
+    let text = journals.map(|j| std::fs::read_to_string(j).unwrap_or_default()).join("");
+    let ran = |id: &str| {
+        let request = format!("\"request\":\"{id}\"");
+        text.lines().filter(|l| l.contains("\"run\"") && l.contains(&request)).count()
+    };
+    assert_eq!((ran("a1"), ran("a2")), (1, 0));
+    assert!(ran("b1") <= 1 && ran("b2") + ran("b3") == 0, "the order ran again");
+}
+
+/// Controller, all standbys and an owner lost together: an outsider serves what answers; the lost
+/// owner's keys wait for the operator's word.
+async fn outsider(name: &str) {
+    let plan = Plan { entries: vec!["dc-1"; 4], ..Plan::default() };
+    let mut cluster = Cluster::start(name, plan).await;
+    let status = cluster.status(0).await.unwrap();
+    let cell = status.cells.iter().find(|c| c.cell == CELL).unwrap().clone();
+    let listed = |n: &usize| {
+        let entry = &cluster.entries[*n].process.name;
+        *entry == cell.controller || cell.standbys.contains(entry)
+    };
+    let (lost, left): (Vec<usize>, Vec<usize>) = (0..4).partition(listed);
+    let outsider = left[0];
+    let owner = cluster.owner(outsider, "key-1").await;
+    let mut lost_keys = Vec::new();
+    let mut kept_keys = Vec::new();
+    for n in 0..KEYS {
+        let key = format!("key-{n}");
+        let of_owner = cluster.owner(outsider, &key).await == owner;
+        if of_owner { &mut lost_keys } else { &mut kept_keys }.push(key);
+    }
+    let load = start_load(&cluster);
+    for entry in lost {
+        cluster.entries[entry].process.kill();
+    }
+    cluster.upstreams[owner].process.kill();
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    let deadline = [("x-mulberryspur-deadline-ms", "300")];
+    for key in &kept_keys {
+        let path = format!("/patterns/{key}");
+        let res = cluster.request(outsider, Method::GET, &path, &deadline).await.unwrap();
+        assert_eq!(res.0.as_u16(), 200, "{key}");
+    }
+    let path = format!("/patterns/{}", lost_keys[0]);
+    let (_, headers, _) = cluster.request(outsider, Method::GET, &path, &deadline).await.unwrap();
+    assert_eq!(headers["x-mulberryspur-outcome"], "not-run", "no bound is known");
+    let name = &cluster.upstreams[owner].process.name;
+    let resources = cluster.resources();
+    let mut resource = resources.iter().find(|r| r["name"] == **name).unwrap().clone();
+    resource["state"] = json!("stopped");
+    let (status, body) = cluster.change(outsider, &[resource], None).await;
+    assert!(status.is_success(), "{body}");
+    served_again(&cluster, outsider, Instant::now()).await;
+    cluster.check(&load.stop().await);
+}
--- a/tests/fuzz_ownership.rs
+++ b/tests/fuzz_ownership.rs
@@ -309,8 +309,10 @@
         let me = self.instances[n].id;
         let c = self.instances[n].controller.as_mut().unwrap();
         let none = BTreeMap::new();
-        let demand = Demand { slots: &slots, live: &live, pinned: &none, churn: 1 };
-        c.want(place(c.row(), &demand));
+        let intended = c.wanted();
+        let demand = Demand { slots: &slots, intended, live: &live, pinned: &none, churn: 1 };
+        let wanted = place(c.row(), &demand);
+        c.want(wanted);
         let mut affected = affected(&c.row().pins, &pins);
         if self.fault == Fault::PinsWithoutNewEpochs {
             affected.clear();
--- a/tests/load_policy.rs
+++ b/tests/load_policy.rs
@@ -166,8 +166,9 @@
         let row = row(&owners);
         let live: Vec<Owner> = (1..5).map(owner).collect();
         let slots: Vec<u32> = row.slots.keys().copied().collect();
-        let none = BTreeMap::new();
-        let demand = Demand { slots: &slots, live: &live, pinned: &none, churn: 0 };
+        let (unmoved, none) = (BTreeMap::new(), BTreeMap::new());
+        let demand =
+            Demand { slots: &slots, intended: &unmoved, live: &live, pinned: &none, churn: 0 };
         let wanted = place(&row, &demand);
         prop_assert_eq!(moved(&row, &wanted), owners.iter().filter(|o| **o == 0).count());
         prop_assert!(wanted.values().all(|o| live.contains(o)));
@@ -179,8 +180,9 @@
         let row = row(&owners);
         let live: Vec<Owner> = (0..6).map(owner).collect();
         let slots: Vec<u32> = row.slots.keys().copied().collect();
-        let none = BTreeMap::new();
-        let demand = Demand { slots: &slots, live: &live, pinned: &none, churn: 1_000 };
+        let (unmoved, none) = (BTreeMap::new(), BTreeMap::new());
+        let demand =
+            Demand { slots: &slots, intended: &unmoved, live: &live, pinned: &none, churn: 1_000 };
         let wanted = place(&row, &demand);
         let counts: Vec<usize> =
             live.iter().map(|o| wanted.values().filter(|w| *w == o).count()).collect();
@@ -201,8 +203,9 @@
         let row = row(&owners);
         let live: Vec<Owner> = (0..4).map(owner).collect();
         let slots: Vec<u32> = row.slots.keys().copied().collect();
-        let none = BTreeMap::new();
-        let demand = Demand { slots: &slots, live: &live, pinned: &none, churn };
+        let (unmoved, none) = (BTreeMap::new(), BTreeMap::new());
+        let demand =
+            Demand { slots: &slots, intended: &unmoved, live: &live, pinned: &none, churn };
         prop_assert!(moved(&row, &place(&row, &demand)) <= churn);
     }
 }
--- a/tests/resources.rs
+++ b/tests/resources.rs
@@ -155,7 +155,7 @@
 fn unknown_fields_are_errors() {
     let text = "[\n  { \"kind\": \"Service\", \"name\": \"a\",\n    \"concurency\": 5 }\n]";
     let e = jsonc::parse::<Vec<Resource>>("a.jsonc", text).unwrap_err();
-    expect!["read settings: a.jsonc:4: field `[0]`: unknown field `concurency`, expected one of `name`, `concurrency`, `connections`, `timeout_ms`, `objective`"].assert_eq(&e.to_string());
+    expect!["read JSON: a.jsonc:3: field `[0]`: unknown field `concurency`, expected one of `name`, `concurrency`, `connections`, `timeout_ms`, `objective`"].assert_eq(&e.to_string());
 }
 
 proptest::proptest! {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -153,6 +153,12 @@
     (process, addr)
 }
 
+/// Returns loopback addresses that nobody listens on.
+fn free_addresses() -> [SocketAddr; 3] {
+    let bind = || std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    [bind(), bind(), bind()].map(|l| l.local_addr().expect("an address"))
+}
+
 impl Cluster {
     /// Starts everything and waits until keys are served.
     pub async fn start(name: &str, plan: Plan) -> Self {
@@ -217,10 +223,11 @@
     }
 
     pub fn add_entry(&mut self, name: &str, data_center: &str) -> usize {
+        let [listen, admin, peer] = free_addresses();
         let mut settings = json!({
             "instance": name, "data_center": data_center,
             "rack": format!("rack-{name}"),
-            "listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "peer": "127.0.0.1:0",
+            "listen": listen, "admin": admin, "peer": peer,
             "platform": self.platform_addr.to_string(), "secret": SECRET,
         });
         let extra = self.plan.settings.as_object().cloned().unwrap_or_default();
@@ -229,13 +236,13 @@
         std::fs::write(&file, settings.to_string()).expect("write settings");
         let args = ["--settings".to_owned(), file.display().to_string()];
         let process = Process::start(name, env!("CARGO_BIN_EXE_mulberryd"), &args, &self.dir);
-        let kvs = process.find_in_log(|l| {
-            let line: Value = serde_json::from_str(l).ok()?;
-            (line["message"] == "started").then(|| line["kvs"].clone())
-        });
-        let addr = |field: &str| kvs[field].as_str().unwrap().parse().unwrap();
-        let entry =
-            Entry { process, listen: addr("listen"), admin: addr("admin"), peer: addr("peer") };
+        let entry = Entry { process, listen, admin, peer };
+        let start = Instant::now();
+        while std::net::TcpStream::connect(admin).is_err() {
+            let text = entry.process.log_text();
+            assert!(start.elapsed() < START_LIMIT, "{name} did not start: {text}");
+            std::thread::sleep(Duration::from_millis(10));
+        }
         self.entries.push(entry);
         self.entries.len() - 1
     }
