--- a/src/agent.rs
+++ b/src/agent.rs
@@ -54,6 +54,8 @@
     published: u64,
     upstreams: HashMap<Arc<str>, UpstreamView>,
     placed: Option<PlacementBasis>,
+    /// Whether the last placement found nothing to move for balance.
+    balanced: bool,
     /// When slots may move for balance again.
     next_balance: Millis,
     next_probe: Millis,
@@ -81,6 +83,7 @@
             published: 0,
             upstreams: HashMap::default(),
             placed: None,
+            balanced: false,
             next_balance: 0,
             next_probe: 0,
             stopping: None,
@@ -294,7 +297,7 @@
         }
         let churn = if grace || now < self.next_balance { 0 } else { ownership.churn as usize };
         let basis = PlacementBasis { revision: snapshot.revision, row_version: c.version(), live };
-        if self.placed.as_ref() == Some(&basis) && churn == 0 {
+        if self.placed.as_ref() == Some(&basis) && (churn == 0 || self.balanced) {
             return;
         }
         let demand = Demand {
@@ -308,6 +311,8 @@
             self.next_balance = now + BALANCE_PAUSE_MS;
         }
         let wanted = placement::place(c.row(), &demand);
+        // With churn to spend and nothing to move, the same basis gives the same plan.
+        self.balanced = churn > 0 && wanted == *c.wanted();
         c.want(wanted);
         let pins = ownership.pinned_keys();
         let affected = affected_slots(ownership, &c.row().pins, &pins);
