Takeovers list no standbys; errors in one line

Cause: after heartbeats were slowed, a takeover could list the instance that was just lost as a standby and had no authority until it had replaced it. A wrong settings file printed a backtrace and its cause twice.

Ruled out: leaving only the lost controller out, since a standby may be lost with it.

The slots affected by pins are a function of the library now, and the process tests share one runner.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -14,7 +14,7 @@
     placement::{self, Demand},
     registry::ServiceView,
     resource::{Fencing, Ownership, UpstreamState},
-    slot::{SlotId, Term, hashed_slot},
+    slot::{SlotId, Term, slots_affected},
     standby::{Standby, StandbyAction},
 };
 use std::{
@@ -213,11 +213,10 @@
             log::info!(cell = &*self.io.cell; "control of the cell ended");
             self.controller = None;
         }
-        let standbys = self.choose_standbys(now);
         if self.controller.is_some() {
-            self.control(now, standbys);
+            self.control(now);
         } else {
-            self.stand_by(now, standbys);
+            self.stand_by(now);
         }
         self.io.instance.set_control(&self.io.cell, self.controller.is_some());
     }
@@ -236,7 +235,8 @@
         })
     }
 
-    fn control(&mut self, now: Millis, standbys: Vec<InstanceId>) {
+    fn control(&mut self, now: Millis) {
+        let standbys = self.choose_standbys(now);
         let entries = self.entries(now);
         self.place(now);
         let Some(c) = &mut self.controller else {
@@ -315,7 +315,8 @@
         self.balanced = churn > 0 && wanted == *c.wanted();
         c.want(wanted);
         let pins = ownership.pinned_keys();
-        let affected = affected_slots(ownership, &c.row().pins, &pins);
+        let (name, slots) = (&ownership.service, ownership.slots);
+        let affected = slots_affected(name, slots, &c.row().pins, &pins);
         c.want_pins(pins, affected);
         self.placed = Some(basis);
     }
@@ -332,14 +333,15 @@
         }
     }
 
-    fn stand_by(&mut self, now: Millis, standbys: Vec<InstanceId>) {
+    /// Takes over where that is due. The row then lists no standbys: who is lost together with the
+    /// controller is not known yet, and a listed one that cannot promise would stop the grants.
+    fn stand_by(&mut self, now: Millis) {
         if let Some(tx) = self.stopping.take() {
             let _ = tx.send(false);
         }
         if self.io.instance.is_leaving() {
             return;
         }
-        self.standby.want_standbys(standbys);
         if self.is_orphaned(now) && !self.standby.is_taking_over() {
             let lost = self.io.instance.maps.get(&self.io.cell).map_or(0, |m| m.row.term);
             log::info!(cell = &*self.io.cell, lost; "takes over as an outsider");
@@ -467,20 +469,3 @@
     let slots = (ownership.slots..).zip(&ownership.pins).filter(|(_, p)| !p.key.is_empty());
     slots.filter_map(|(slot, p)| Some((slot, p.upstream.clone()?))).collect()
 }
-
-/// Returns the slots that keys leave or enter when the pins change from `old` to `new`.
-fn affected_slots(ownership: &Ownership, old: &[Arc<str>], new: &[Arc<str>]) -> BTreeSet<SlotId> {
-    let mut affected = BTreeSet::new();
-    let none: Arc<str> = "".into();
-    for n in 0..old.len().max(new.len()) {
-        let (a, b) = (old.get(n).unwrap_or(&none), new.get(n).unwrap_or(&none));
-        if a == b {
-            continue;
-        }
-        affected.extend(u32::try_from(n).ok().map(|n| ownership.slots + n));
-        for key in [a, b].into_iter().filter(|k| !k.is_empty()) {
-            affected.insert(hashed_slot(&ownership.service, key, ownership.slots));
-        }
-    }
-    affected
-}
--- a/src/bin/mulberryd/main.rs
+++ b/src/bin/mulberryd/main.rs
@@ -4,7 +4,15 @@
 mod clap_app;
 mod config;
 
-fn main() -> eyre::Result<()> {
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
     let matches = clap_app::build().get_matches();
-    app::run(&config::Config::new(&matches)?)
+    match config::Config::new(&matches).and_then(|cfg| app::run(&cfg)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("mulberryd: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -84,8 +84,5 @@
     }
 }
 
-impl std::error::Error for Error {
-    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
-        Some(&self.cause)
-    }
-}
+// The cause is part of the text, so it is no source of its own.
+impl std::error::Error for Error {}
--- a/src/slot.rs
+++ b/src/slot.rs
@@ -3,7 +3,7 @@
 //! The mapping is part of the contract between versions: XXH3 with a fixed seed over
 //! `service NUL key`. The test vectors in `tests/slot.rs` must never change.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 const HASH_SEED: u64 = 0x6d75_6c62;
 
@@ -31,6 +31,28 @@
     own.unwrap_or_else(|| hashed_slot(service, key, slots))
 }
 
+/// Returns the slots that keys leave or enter when the pins change from `old` to `new`.
+#[must_use]
+pub fn slots_affected(
+    service: &str,
+    slots: u32,
+    old: &[Arc<str>],
+    new: &[Arc<str>],
+) -> BTreeSet<SlotId> {
+    let mut affected = BTreeSet::new();
+    let none: Arc<str> = "".into();
+    for n in 0..old.len().max(new.len()) {
+        let (a, b) = (old.get(n).unwrap_or(&none), new.get(n).unwrap_or(&none));
+        if a == b {
+            continue;
+        }
+        affected.extend(u32::try_from(n).ok().map(|n| slots + n));
+        let keys = [a, b].into_iter().filter(|k| !k.is_empty());
+        affected.extend(keys.map(|key| hashed_slot(service, key, slots)));
+    }
+    affected
+}
+
 /// Hashes a key of a service, portably.
 #[must_use]
 pub fn key_hash(service: &str, key: &str) -> u64 {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -6,10 +6,7 @@
 use mulberryspur::clock::boot_millis;
 use rustix::process::Signal;
 use serde_json::json;
-use std::{
-    future::Future,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 use support::{Cluster, Plan, load::Load};
 
 /// A key must be served again within this time after a loss.
@@ -17,20 +14,9 @@
 const CELL: &str = "foldbook@dc-1";
 const KEYS: u64 = 64;
 
-/// One cluster at a time, so that the timing of one test does not disturb another.
-static ONE: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
-
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap();
-    runtime.block_on(async {
-        let _one = ONE.lock().await;
-        test.await;
-    });
-}
-
 macro_rules! cases {
     ($($name:ident: $test:expr;)*) => {
-        $(#[test] fn $name() { run($test(stringify!($name))) })*
+        $(#[test] fn $name() { support::run_alone($test(stringify!($name))) })*
     };
 }
 
--- a/tests/fuzz_ownership.rs
+++ b/tests/fuzz_ownership.rs
@@ -8,7 +8,7 @@
     controller::{Action, Ask, Controller, Enforcer, WriteResult},
     grant::{Grant, GrantHolder, GrantReply, Timing},
     placement::{Demand, place},
-    slot::{SlotId, hashed_slot, slot_of},
+    slot::{SlotId, slot_of, slots_affected},
     standby::{Standby, StandbyAction},
 };
 use proptest::{prelude::*, sample::Index, strategy::ValueTree, test_runner::RngSeed};
@@ -313,7 +313,7 @@
         let demand = Demand { slots: &slots, intended, live: &live, pinned: &none, churn: 1 };
         let wanted = place(c.row(), &demand);
         c.want(wanted);
-        let mut affected = affected(&c.row().pins, &pins);
+        let mut affected = slots_affected(SERVICE, SLOTS, &c.row().pins, &pins);
         if self.fault == Fault::PinsWithoutNewEpochs {
             affected.clear();
         }
@@ -462,20 +462,6 @@
     }
 }
 
-fn affected(old: &[Arc<str>], new: &[Arc<str>]) -> BTreeSet<SlotId> {
-    let none: Arc<str> = "".into();
-    let mut affected = BTreeSet::new();
-    for n in 0..old.len().max(new.len()) {
-        let (a, b) = (old.get(n).unwrap_or(&none), new.get(n).unwrap_or(&none));
-        if a != b {
-            affected.insert(SLOTS + u32::try_from(n).unwrap());
-            let keys = [a, b].into_iter().filter(|k| !k.is_empty());
-            affected.extend(keys.map(|k| hashed_slot(SERVICE, k, SLOTS)));
-        }
-    }
-    affected
-}
-
 impl StateMachineTest for System {
     type SystemUnderTest = Self;
     type Reference = Reference;
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -14,20 +14,9 @@
 /// An accepted configuration must be in force everywhere within this time.
 const IN_FORCE: Duration = Duration::from_secs(9);
 
-/// One cluster at a time, so that the timing of one test does not disturb another.
-static ONE: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
-
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap();
-    runtime.block_on(async {
-        let _one = ONE.lock().await;
-        test.await;
-    });
-}
-
 macro_rules! cases {
     ($($name:ident: $test:expr;)*) => {
-        $(#[test] fn $name() { run($test(stringify!($name))) })*
+        $(#[test] fn $name() { support::run_alone($test(stringify!($name))) })*
     };
 }
 
@@ -391,3 +380,18 @@
     }
     ok(&cluster, &["unpin", "foldbook", "key-1", "--wait"]);
 }
+
+/// A wrong settings file is told in one line, with an exit code.
+#[test]
+fn wrong_settings_are_told_in_one_line() {
+    let dir = std::env::temp_dir().join(format!("mulberryspur-settings-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let file = write(&dir, "bad.jsonc", "{\n  // no\n  \"instanc\": \"a\"\n}");
+    let out =
+        Command::new(env!("CARGO_BIN_EXE_mulberryd")).args(["check", &file]).output().unwrap();
+    std::fs::remove_dir_all(&dir).unwrap();
+    assert_eq!(out.status.code(), Some(1));
+    let text = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(text.contains("bad.jsonc:3: field `instanc`"), "{text}");
+    assert_eq!(text.lines().count(), 1, "{text}");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -25,6 +25,16 @@
 const START_LIMIT: Duration = Duration::from_secs(20);
 const CALL_LIMIT: Duration = Duration::from_secs(15);
 
+/// Runs a test while no other one of the same file runs, so that their timing is not disturbed.
+pub fn run_alone(test: impl Future<Output = ()>) {
+    static ONE: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let _one = ONE.lock().await;
+        test.await;
+    });
+}
+
 /// A child process that is killed when dropped.
 #[derive(Debug)]
 pub struct Process {
