--- a/src/budget.rs
+++ b/src/budget.rs
@@ -10,6 +10,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RetryBudget {
     saved: u32,
+    earn: u32,
+    max_saved: u32,
 }
 
 impl Default for RetryBudget {
@@ -22,12 +24,24 @@
     /// Creates a budget that allows a few retries at once.
     #[must_use]
     pub fn new() -> Self {
-        Self { saved: START }
+        Self { saved: START, earn: EARN_PER_REQUEST, max_saved: MAX_SAVED }
+    }
+
+    /// Creates a budget that earns `ratio` retries with each request and saves at most `reserve`.
+    #[must_use]
+    pub fn with_limits(ratio: f64, reserve: f64) -> Self {
+        let per_mille = |v: f64| {
+            #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "positive")]
+            let n = (v.clamp(0.0, 1e6) * f64::from(COST_PER_RETRY)) as u32;
+            n
+        };
+        let max_saved = per_mille(reserve).max(COST_PER_RETRY);
+        Self { saved: max_saved, earn: per_mille(ratio), max_saved }
     }
 
     /// Notes a first attempt.
     pub fn on_request(&mut self) {
-        self.saved = (self.saved + EARN_PER_REQUEST).min(MAX_SAVED);
+        self.saved = (self.saved + self.earn).min(self.max_saved);
     }
 
     /// Returns whether a retry may be sent, and pays for it.
--- /dev/null
+++ b/src/forward.rs
@@ -0,0 +1,189 @@
+//! One attempt of a request at one upstream, and what its end proves.
+
+use crate::{
+    body::{Guarded, RequestBody},
+    catalog::Member,
+    clock::Millis,
+    dispatch::{End, Load},
+    http::{self, Body},
+    node::Node,
+};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode, Uri, Version,
+    header::{self, HeaderName, HeaderValue},
+    http::request::Parts,
+};
+use std::{rc::Rc, time::Instant};
+
+/// Bytes of an answer that are read whole before any of it is passed on, so that a broken one can
+/// still be replaced; larger ones are streamed.
+const WHOLE_ANSWER_BYTES: u64 = 2 << 20;
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// How an attempt ended.
+pub(crate) enum Attempt {
+    /// The upstream's own answer, to be passed on.
+    Answer(Response<Body>),
+    /// The upstream failed the request, which has run; its answer can be passed on.
+    Failure(Response<Body>),
+    /// The request has not run and never will.
+    NotRun(&'static str),
+    /// The request may have run.
+    Unknown(String),
+}
+
+/// What an attempt taught about the upstream.
+pub(crate) struct Lesson {
+    pub attempt: Attempt,
+    pub end: End,
+    pub load: Option<Load>,
+}
+
+impl Lesson {
+    fn new(attempt: Attempt, end: End) -> Self {
+        Self { attempt, end, load: None }
+    }
+}
+
+fn keep_alive() -> HeaderName {
+    HeaderName::from_static("keep-alive")
+}
+
+/// Copies the headers that are passed on.
+fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<&str> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(',').map(str::trim))
+        .collect();
+    let mut copy = HeaderMap::with_capacity(headers.len() + 2);
+    for (name, value) in headers {
+        let hop = HOP_HEADERS.contains(name) || *name == keep_alive();
+        if !hop && !named.iter().any(|n| name.as_str().eq_ignore_ascii_case(n)) {
+            copy.append(name.clone(), value.clone());
+        }
+    }
+    copy
+}
+
+fn request(node: &Node, head: &Parts, member: &Member, left: Millis, body: Body) -> Request<Body> {
+    let dialect = &node.ports.dialect;
+    let mut headers = passed_on(&head.headers);
+    // The length follows from the body that is sent.
+    headers.remove(header::EXPECT);
+    headers.insert(dialect.time_left.clone(), HeaderValue::from(left));
+    if let Ok(id) = HeaderValue::from_str(&member.id) {
+        headers.insert(dialect.expected_upstream.clone(), id);
+    }
+    let mut req = Request::new(body);
+    *req.method_mut() = head.method.clone();
+    let path = head.uri.path_and_query().cloned();
+    *req.uri_mut() = path.map(Uri::from).unwrap_or_default();
+    *req.version_mut() = Version::HTTP_11;
+    *req.headers_mut() = headers;
+    req
+}
+
+fn load_of(node: &Node, headers: &HeaderMap) -> Option<Load> {
+    let text = headers.get(&node.ports.dialect.load)?.to_str().ok()?;
+    let mut numbers = text.split(',').map(|n| n.trim().parse().ok());
+    let mut next = || numbers.next().flatten();
+    Some(Load { running: next()?, waiting: next()?, slots: next()? })
+}
+
+/// Sends a request to an upstream once.
+pub(crate) async fn send(
+    node: &Rc<Node>,
+    head: &Parts,
+    body: &mut RequestBody,
+    member: &Member,
+    left: Millis,
+) -> Lesson {
+    let mut lease = match node.pool.lease(member.address).await {
+        Ok(lease) => lease,
+        Err(e) => {
+            log::debug!(upstream = &*member.id; "{e}");
+            return Lesson::new(Attempt::NotRun("no connection"), End::Unreachable);
+        }
+    };
+    let started = Instant::now();
+    let req = request(node, head, member, left, body.take());
+    let res = match lease.send(&member.id, req).await {
+        Ok(res) => res,
+        Err(f) => {
+            if let Some(unsent) = f.unsent {
+                body.restore(unsent.into_body());
+                return Lesson::new(Attempt::NotRun("connection closed"), End::Dropped);
+            }
+            return Lesson::new(Attempt::Unknown(f.error.to_string()), End::Failed);
+        }
+    };
+    let (mut parts, incoming) = res.into_parts();
+    let dialect = &node.ports.dialect;
+    if parts.headers.get(&dialect.request_id) != head.headers.get(&dialect.request_id) {
+        // An answer to an earlier request: nothing on this connection can be trusted.
+        return Lesson::new(Attempt::Unknown("answer to another request".into()), End::Failed);
+    }
+    let load = load_of(node, &parts.headers);
+    let closes = parts.headers.get(header::CONNECTION).is_some_and(|v| v == "close");
+    let not_run = parts.headers.contains_key(&dialect.not_run)
+        || parts.status == StatusCode::MISDIRECTED_REQUEST;
+    let length = parts.headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
+    let signed = parts.headers.contains_key(&dialect.signature);
+    let status = parts.status;
+    parts.headers = passed_on(&parts.headers);
+    parts.headers.remove(&dialect.load);
+    if length.is_some_and(|n: u64| n > WHOLE_ANSWER_BYTES) && status.is_success() && signed {
+        let took = elapsed_ms(started);
+        let body = Guarded::new(incoming, lease, |_, _| {});
+        let body = http_body_util::BodyExt::boxed_unsync(body);
+        let attempt = Attempt::Answer(Response::from_parts(parts, body));
+        return Lesson { attempt, end: End::Answered(took), load };
+    }
+    let max = usize::try_from(WHOLE_ANSWER_BYTES).unwrap_or(usize::MAX);
+    let bytes = match http::read_body("read answer", &member.id, incoming, max).await {
+        Ok(bytes) => bytes,
+        Err(e) if not_run => {
+            log::debug!(upstream = &*member.id; "{e}");
+            return Lesson { attempt: Attempt::NotRun("rejected"), end: End::Shed, load };
+        }
+        Err(e) => {
+            let attempt = Attempt::Unknown(e.to_string());
+            return Lesson { attempt, end: End::Failed, load };
+        }
+    };
+    if !closes {
+        lease.reuse();
+    }
+    let took = elapsed_ms(started);
+    if not_run {
+        let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+        let end = if misdirected { End::NotOwner } else { End::Shed };
+        let why = if misdirected { "not the owner" } else { "rejected" };
+        return Lesson { attempt: Attempt::NotRun(why), end, load };
+    }
+    if status.is_success() && (!signed || parts.headers.contains_key(header::CONTENT_ENCODING)) {
+        let attempt = Attempt::Unknown("answer without the upstream's signature".into());
+        return Lesson { attempt, end: End::Failed, load };
+    }
+    let res = Response::from_parts(parts, http::full(bytes));
+    if status.is_server_error() {
+        return Lesson { attempt: Attempt::Failure(res), end: End::Failed, load };
+    }
+    Lesson { attempt: Attempt::Answer(res), end: End::Answered(took), load }
+}
+
+fn elapsed_ms(since: Instant) -> f64 {
+    since.elapsed().as_secs_f64() * 1_000.0
+}
--- /dev/null
+++ b/src/gossip.rs
@@ -0,0 +1,284 @@
+//! Links between instances: what one has learnt from the store reaches those that cannot ask it.
+//!
+//! Each instance tells a few others, mostly of its own data centre, up to which revision it knows
+//! everything, and gets what it lacks. So news passes also when the store refuses an instance, is
+//! silent to it, or is cut off from it.
+
+use crate::{
+    clock::{Millis, boot_millis},
+    collections::HashMap,
+    error::{Cause, Error, Result},
+    heat::HeatReport,
+    http,
+    node::Node,
+    stewardship,
+    views::{Digest, Entry, Peer},
+};
+use futures::{SinkExt, StreamExt};
+use serde::{Deserialize, Serialize};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use tokio::{net::TcpStream, sync::mpsc};
+use tokio_tungstenite::{WebSocketStream, tungstenite};
+
+/// Time between digests to an instance of the same data centre.
+const NEAR_INTERVAL: Duration = Duration::from_millis(300);
+/// Rounds of the same data centre for each round to another one: bytes between them are dear.
+const FAR_ROUNDS: u64 = 4;
+/// Instances of the same data centre that are told in turn.
+const NEAR_PARTNERS: usize = 3;
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+const SEND_LIMIT: Duration = Duration::from_millis(600);
+/// Time after which a link that carries nothing is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(5);
+/// Messages that wait for a link; more are dropped, as each is repeated soon.
+const QUEUED: usize = 64;
+/// Bytes of one message; a configuration with thousands of routes fits.
+const MAX_MESSAGE: usize = 16 << 20;
+
+/// What instances tell each other.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum Message {
+    /// Who opened the link.
+    Hello { name: Arc<str> },
+    /// Up to which revisions the sender knows everything.
+    Digest(Digest),
+    /// What the receiver lacks, from a sender that is complete up to `digest`.
+    News { digest: Digest, entries: Vec<Entry> },
+    /// Load of a keyed service, for the instance that decides about it.
+    Heat { service: Arc<str>, report: Option<HeatReport> },
+    /// Answer to [`Message::Heat`]: whether the sender decides about the service.
+    Acting { service: Arc<str>, acting: bool },
+}
+
+/// Open links by the name of the instance at the other end.
+#[derive(Debug, Default)]
+pub(crate) struct Links {
+    open: RefCell<HashMap<Arc<str>, mpsc::Sender<Message>>>,
+}
+
+/// Binds the address for instances and starts telling others.
+pub(crate) async fn start(node: &Rc<Node>) -> Result<()> {
+    let listener = http::bind("listen for instances", node.cfg.peer).await?;
+    let accepting = node.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, addr)) => {
+                    tokio::task::spawn_local(serve(accepting.clone(), stream, addr));
+                }
+                Err(e) => {
+                    log::warn!("accept an instance: {e}");
+                    tokio::time::sleep(CONNECT_LIMIT).await;
+                }
+            }
+        }
+    });
+    tokio::task::spawn_local(rounds(node.clone()));
+    Ok(())
+}
+
+async fn rounds(node: Rc<Node>) {
+    let mut tick = tokio::time::interval(NEAR_INTERVAL);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    for round in 0u64.. {
+        tick.tick().await;
+        let digest = node.views.borrow().digest();
+        if let Some(name) = partner(&node, round, true) {
+            send(&node, &name, Message::Digest(digest));
+        } else if node.catalog().is_none() {
+            ask_seed(&node, round);
+        }
+        if round % FAR_ROUNDS == 0
+            && let Some(name) = partner(&node, round / FAR_ROUNDS, false)
+        {
+            send(&node, &name, Message::Digest(digest));
+        }
+    }
+}
+
+/// Returns the instance to tell in a round: one of the next few by name.
+fn partner(node: &Node, round: u64, near: bool) -> Option<Arc<str>> {
+    let views = node.views.borrow();
+    let same = |p: &Peer| p.data_center == node.cfg.data_center;
+    let mut names: Vec<Arc<str>> = views
+        .instances()
+        .filter(|(name, p)| **name != node.cfg.name && same(p) == near)
+        .map(|(name, _)| name.clone())
+        .collect();
+    names.sort();
+    let first = names.partition_point(|n| *n < node.cfg.name);
+    let among = names.len().min(if near { NEAR_PARTNERS } else { usize::MAX });
+    let step = usize::try_from(round).unwrap_or(0).checked_rem(among)?;
+    names.get((first + step) % names.len()).cloned()
+}
+
+/// Asks an instance named in the settings, as long as nothing is known.
+fn ask_seed(node: &Rc<Node>, round: u64) {
+    let others: Vec<SocketAddr> =
+        node.cfg.seeds.iter().copied().filter(|a| *a != node.cfg.peer).collect();
+    let Some(n) = usize::try_from(round).unwrap_or(0).checked_rem(others.len()) else {
+        return;
+    };
+    let name: Arc<str> = others[n].to_string().into();
+    let digest = node.views.borrow().digest();
+    send_to(node, &name, others[n], Message::Digest(digest));
+}
+
+/// Sends a message to an instance, over an open link or a new one.
+pub(crate) fn send(node: &Rc<Node>, name: &Arc<str>, message: Message) {
+    let address = node.views.borrow().instance(name).map(|p| p.address);
+    if let Some(address) = address {
+        send_to(node, name, address, message);
+    }
+}
+
+fn send_to(node: &Rc<Node>, name: &Arc<str>, address: SocketAddr, message: Message) {
+    let mut open = node.links.open.borrow_mut();
+    let tx = open.entry(name.clone()).or_insert_with(|| {
+        let (tx, rx) = mpsc::channel(QUEUED);
+        let (node, name) = (node.clone(), name.clone());
+        let own = tx.clone();
+        tokio::task::spawn_local(async move {
+            if let Err(e) = connect(&node, address, rx).await {
+                log::debug!(peer = &*name; "{e}");
+            }
+            close(&node, &name, &own);
+        });
+        tx
+    });
+    if tx.try_send(message).is_err() {
+        log::debug!(peer = &**name; "link is busy, message dropped");
+    }
+}
+
+/// Forgets a link unless it has been replaced.
+fn close(node: &Node, name: &Arc<str>, tx: &mpsc::Sender<Message>) {
+    let mut open = node.links.open.borrow_mut();
+    if open.get(name).is_some_and(|t| t.same_channel(tx)) {
+        open.remove(name);
+    }
+}
+
+fn broken(step: &'static str, peer: SocketAddr, e: &impl std::fmt::Display) -> Error {
+    Error::new(step, peer.to_string(), Cause::Broken(e.to_string()))
+}
+
+async fn connect(
+    node: &Rc<Node>,
+    address: SocketAddr,
+    rx: mpsc::Receiver<Message>,
+) -> Result<()> {
+    let opening = async {
+        let stream = TcpStream::connect(address).await.map_err(|e| broken("connect", address, &e))?;
+        let url = format!("ws://{address}/");
+        let opened = tokio_tungstenite::client_async(url, stream).await;
+        opened.map_err(|e| broken("open link", address, &e))
+    };
+    let late = |e| broken("open link", address, &e);
+    let (mut link, _) = tokio::time::timeout(CONNECT_LIMIT, opening).await.map_err(late)??;
+    write(&mut link, address, &Message::Hello { name: node.cfg.name.clone() }).await?;
+    run(node, link, address, rx).await
+}
+
+async fn serve(node: Rc<Node>, stream: TcpStream, address: SocketAddr) {
+    let accepted = tokio_tungstenite::accept_async(stream);
+    let Ok(Ok(mut link)) = tokio::time::timeout(CONNECT_LIMIT, accepted).await else {
+        log::debug!(peer = address.to_string(); "link was not opened");
+        return;
+    };
+    let hello = tokio::time::timeout(CONNECT_LIMIT, read(&mut link, address)).await;
+    let Ok(Ok(Some(Message::Hello { name }))) = hello else {
+        log::debug!(peer = address.to_string(); "link without a name");
+        return;
+    };
+    let (tx, rx) = mpsc::channel(QUEUED);
+    node.links.open.borrow_mut().insert(name.clone(), tx.clone());
+    if let Err(e) = run(&node, link, address, rx).await {
+        log::debug!(peer = &*name; "{e}");
+    }
+    close(&node, &name, &tx);
+}
+
+type Link = WebSocketStream<TcpStream>;
+
+async fn write(link: &mut Link, peer: SocketAddr, message: &Message) -> Result<()> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(message, &mut bytes).map_err(|e| broken("encode message", peer, &e))?;
+    let sent = link.send(tungstenite::Message::binary(bytes));
+    let sent = tokio::time::timeout(SEND_LIMIT, sent).await;
+    sent.map_err(|e| broken("send message", peer, &e))?
+        .map_err(|e| broken("send message", peer, &e))
+}
+
+/// Reads the next message, `None` at the end of the link.
+async fn read(link: &mut Link, peer: SocketAddr) -> Result<Option<Message>> {
+    while let Some(frame) = link.next().await {
+        let frame = frame.map_err(|e| broken("read message", peer, &e))?;
+        let tungstenite::Message::Binary(bytes) = frame else {
+            continue;
+        };
+        if bytes.len() > MAX_MESSAGE {
+            return Err(Error::invalid("read message", "message is too long"));
+        }
+        let message = ciborium::from_reader(&bytes[..]);
+        return message.map(Some).map_err(|e| broken("decode message", peer, &e));
+    }
+    Ok(None)
+}
+
+async fn run(
+    node: &Rc<Node>,
+    mut link: Link,
+    peer: SocketAddr,
+    mut rx: mpsc::Receiver<Message>,
+) -> Result<()> {
+    loop {
+        let replies = tokio::select! {
+            message = read(&mut link, peer) => match message? {
+                Some(message) => on_message(node, message),
+                None => return Ok(()),
+            },
+            message = rx.recv() => match message {
+                Some(message) => vec![message],
+                None => return Ok(()),
+            },
+            () = tokio::time::sleep(IDLE_LIMIT) => return Ok(()),
+            () = node.stop.cancelled() => return Ok(()),
+        };
+        for reply in replies {
+            write(&mut link, peer, &reply).await?;
+        }
+    }
+}
+
+/// Acts on a message and returns what to answer.
+fn on_message(node: &Rc<Node>, message: Message) -> Vec<Message> {
+    match message {
+        Message::Hello { .. } => Vec::new(),
+        Message::Digest(theirs) => {
+            let views = node.views.borrow();
+            let digest = views.digest();
+            let entries = views.newer_than(&theirs);
+            let behind = digest.iter().zip(&theirs).any(|(mine, theirs)| mine < theirs);
+            let news = (!entries.is_empty()).then_some(Message::News { digest, entries });
+            // Revisions without changes in them are no reason to ask.
+            let ask = behind.then_some(Message::Digest(digest));
+            news.into_iter().chain(ask).collect()
+        }
+        Message::News { digest, entries } => {
+            let (count, now) = (entries.len(), boot_millis());
+            let since: Millis = now;
+            node.update(|views, now| views.merge_from_peer(now, &digest, entries));
+            log::debug!(entries = count, at = since; "news from another instance");
+            Vec::new()
+        }
+        Message::Heat { service, report } => {
+            let acting = stewardship::on_heat(node, &service, report);
+            vec![Message::Acting { service, acting }]
+        }
+        Message::Acting { service, acting } => {
+            stewardship::on_acting(node, &service, acting);
+            Vec::new()
+        }
+    }
+}
--- /dev/null
+++ b/src/heat.rs
@@ -0,0 +1,127 @@
+//! How busy each key is, and how fast each upstream works.
+
+use crate::{
+    clock::Millis,
+    collections::HashMap,
+    keymap::{KEYS, Key, Range},
+};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// Span in milliseconds over which rates are averaged: hot keys change within seconds.
+const RATE_SPAN_MS: f64 = 2_000.0;
+/// Weight of one answer in an upstream's average time.
+const TIME_WEIGHT: f64 = 0.05;
+/// Keys of one report; the rest is counted to the nearest reported key.
+const MAX_REPORTED_KEYS: usize = 2_048;
+
+/// What one entry instance saw since its last report.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct HeatReport {
+    /// Service.
+    pub service: Arc<str>,
+    /// Requests by key.
+    pub requests: Vec<(Key, u32)>,
+    /// Answers of upstreams without a queue: identity, number, sum of times in milliseconds.
+    pub times: Vec<(Arc<str>, u32, f64)>,
+}
+
+/// Counts of one entry instance since its last report.
+#[derive(Debug, Default)]
+pub struct HeatCounter {
+    requests: HashMap<Key, u32>,
+    times: HashMap<Arc<str>, (u32, f64)>,
+}
+
+impl HeatCounter {
+    /// Counts a request for `key`.
+    pub fn on_request(&mut self, key: Key) {
+        *self.requests.entry(key).or_default() += 1;
+    }
+
+    /// Counts an answer of an upstream that had nothing waiting.
+    pub fn on_answer(&mut self, upstream: &Arc<str>, took_ms: f64) {
+        let entry = self.times.entry(upstream.clone()).or_default();
+        entry.0 += 1;
+        entry.1 += took_ms;
+    }
+
+    /// Returns the counts and starts anew; `None` if there is nothing to report.
+    pub fn take(&mut self, service: &Arc<str>) -> Option<HeatReport> {
+        if self.requests.is_empty() {
+            return None;
+        }
+        let mut requests: Vec<(Key, u32)> = self.requests.drain().collect();
+        requests.sort_unstable();
+        while requests.len() > MAX_REPORTED_KEYS {
+            requests = requests.chunks(2).map(|c| (c[0].0, c.iter().map(|r| r.1).sum())).collect();
+        }
+        let times = self.times.drain().map(|(id, (n, sum))| (id, n, sum)).collect();
+        Some(HeatReport { service: service.clone(), requests, times })
+    }
+}
+
+/// Rates of all keys and times of all upstreams, averaged over the reports of all instances.
+#[derive(Debug)]
+pub struct Heat {
+    rates: Vec<f32>,
+    decayed: Millis,
+    times: HashMap<Arc<str>, f64>,
+}
+
+impl Heat {
+    /// Creates the state at `now`, without load.
+    #[must_use]
+    pub fn new(now: Millis) -> Self {
+        Self { rates: vec![0.0; KEYS as usize], decayed: now, times: HashMap::default() }
+    }
+
+    /// Lets older counts weigh less.
+    pub fn decay(&mut self, now: Millis) {
+        #[expect(clippy::cast_precision_loss, reason = "short spans")]
+        let span = now.saturating_sub(self.decayed) as f64;
+        self.decayed = now;
+        #[expect(clippy::cast_possible_truncation, reason = "a factor below 1")]
+        let factor = (-span / RATE_SPAN_MS).exp() as f32;
+        self.rates.iter_mut().for_each(|r| *r *= factor);
+    }
+
+    /// Takes a report in.
+    pub fn add(&mut self, report: &HeatReport) {
+        #[expect(clippy::cast_possible_truncation, reason = "a small constant")]
+        let per_request = (1_000.0 / RATE_SPAN_MS) as f32;
+        for (key, n) in &report.requests {
+            #[expect(clippy::cast_precision_loss, reason = "small counts")]
+            let n = *n as f32;
+            self.rates[usize::from(*key)] += n * per_request;
+        }
+        for (id, n, sum) in &report.times {
+            if *n == 0 {
+                continue;
+            }
+            let mean = sum / f64::from(*n);
+            let weight = 1.0 - (1.0 - TIME_WEIGHT).powi((*n).try_into().unwrap_or(i32::MAX));
+            let average = self.times.entry(id.clone()).or_insert(mean);
+            *average += weight * (mean - *average);
+        }
+    }
+
+    /// Returns the requests per second for each key.
+    #[must_use]
+    pub fn rates(&self) -> &[f32] {
+        &self.rates
+    }
+
+    /// Returns the requests per second for a range.
+    #[must_use]
+    pub fn rate(&self, range: &Range) -> f64 {
+        let part = &self.rates[usize::from(range.from)..=usize::from(range.to)];
+        part.iter().map(|r| f64::from(*r)).sum()
+    }
+
+    /// Returns the average time of an answer of an upstream in milliseconds.
+    #[must_use]
+    pub fn time(&self, upstream: &str) -> Option<f64> {
+        self.times.get(upstream).copied()
+    }
+}
--- /dev/null
+++ b/src/keymap.rs
@@ -0,0 +1,151 @@
+//! Who owns which keys of a service: spans of adjacent keys with their owner and fence.
+
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// A key of a service.
+pub type Key = u16;
+
+/// Number of keys of a service.
+pub const KEYS: u32 = 65_536;
+
+/// Adjacent keys, both ends included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Range {
+    /// First key.
+    pub from: Key,
+    /// Last key.
+    pub to: Key,
+}
+
+/// One incarnation of an upstream that owns keys.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Owner {
+    /// Identity of the upstream.
+    pub id: Arc<str>,
+    /// When the incarnation started; tells it from others under the same identity.
+    pub started: u64,
+}
+
+/// Adjacent keys with the same owner and fence.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Span {
+    /// The keys.
+    pub range: Range,
+    /// Who owns them.
+    pub owner: Owner,
+    /// Fencing token, higher than any with which these keys were owned before.
+    pub fence: u64,
+    /// What the last owner handed over, until the owner has been given it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub handover: Option<Arc<str>>,
+}
+
+/// The committed owners of all keys of one service; keys without a span have no owner.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyMap {
+    /// Spans in ascending order without overlaps.
+    pub spans: Vec<Span>,
+}
+
+impl Range {
+    /// Creates the range of keys `from..=to`.
+    #[must_use]
+    pub fn new(from: Key, to: Key) -> Self {
+        Self { from, to }
+    }
+
+    /// Returns the number of keys.
+    #[must_use]
+    pub fn len(&self) -> u32 {
+        u32::from(self.to) - u32::from(self.from) + 1
+    }
+
+    /// Returns `false`: a range holds at least one key.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        false
+    }
+
+    /// Returns whether the range holds `key`.
+    #[must_use]
+    pub fn contains(&self, key: Key) -> bool {
+        self.from <= key && key <= self.to
+    }
+
+    /// Returns whether the two ranges share a key.
+    #[must_use]
+    pub fn overlaps(&self, other: &Self) -> bool {
+        self.from <= other.to && other.from <= self.to
+    }
+
+    /// Returns the keys that both ranges hold.
+    #[must_use]
+    pub fn intersection(&self, other: &Self) -> Option<Self> {
+        self.overlaps(other).then(|| Self::new(self.from.max(other.from), self.to.min(other.to)))
+    }
+
+    /// Returns what is left of this range without `other`: none, one or two ranges.
+    pub fn without(&self, other: &Self) -> impl Iterator<Item = Self> + use<> {
+        let before = (other.from > self.from)
+            .then(|| Self::new(self.from, self.to.min(other.from.saturating_sub(1))));
+        let after = (other.to < self.to)
+            .then(|| Self::new(self.from.max(other.to.saturating_add(1)), self.to));
+        let apart = (!self.overlaps(other)).then_some(*self);
+        let parts = if apart.is_some() { [apart, None] } else { [before, after] };
+        parts.into_iter().flatten()
+    }
+}
+
+/// Returns what is left of `range` without any of `others`.
+#[must_use]
+pub fn subtract(range: Range, others: impl IntoIterator<Item = Range>) -> Vec<Range> {
+    others.into_iter().fold(vec![range], |parts, other| {
+        parts.iter().flat_map(|p| p.without(&other)).collect()
+    })
+}
+
+impl KeyMap {
+    /// Returns the span that holds `key`.
+    #[must_use]
+    pub fn find(&self, key: Key) -> Option<&Span> {
+        let at = self.spans.partition_point(|s| s.range.to < key);
+        self.spans.get(at).filter(|s| s.range.contains(key))
+    }
+
+    /// Returns the ranges of keys without an owner.
+    #[must_use]
+    pub fn gaps(&self) -> Vec<Range> {
+        let all = Range::new(0, Key::MAX);
+        subtract(all, self.spans.iter().map(|s| s.range))
+    }
+
+    /// Gives the keys of `span` to its owner, cutting the spans that held them.
+    pub fn assign(&mut self, span: Span) {
+        let mut spans: Vec<Span> = Vec::with_capacity(self.spans.len() + 2);
+        for old in &self.spans {
+            for range in old.range.without(&span.range) {
+                spans.push(Span { range, ..old.clone() });
+            }
+        }
+        let at = spans.partition_point(|s| s.range.from < span.range.from);
+        spans.insert(at, span);
+        self.spans = spans;
+        self.merge();
+    }
+
+    /// Joins adjacent spans that differ in nothing but their keys.
+    fn merge(&mut self) {
+        self.spans.dedup_by(|next, last| {
+            let joined = last.owner == next.owner
+                && last.fence == next.fence
+                && last.handover.is_none()
+                && next.handover.is_none()
+                && u32::from(last.range.to) + 1 == u32::from(next.range.from);
+            if joined {
+                last.range.to = next.range.to;
+            }
+            joined
+        });
+    }
+}
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -7,6 +7,7 @@
 };
 use hyper::{Request, Response, body::Incoming, client::conn::http1::SendRequest};
 use hyper_util::rt::TokioIo;
+use rustix::net::sockopt;
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
@@ -16,17 +17,45 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const IDLE_LIMIT: Duration = Duration::from_secs(20);
+/// Time between the first probes of a connection that has gone silent; the kernel counts seconds.
+const KEEPALIVE: Duration = Duration::from_secs(1);
 const MAX_CALL_BYTES: usize = 64 << 20;
 
 /// Idle connections to many servers, with a limit for each.
 #[derive(Debug)]
 pub struct Pool {
     limit: usize,
+    options: Options,
     hosts: Mutex<HashMap<SocketAddr, Arc<Host>>>,
 }
 
+/// How connections are made and kept.
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// Time for a connection to be made.
+    pub connect: Duration,
+    /// Time for which an idle connection is kept.
+    pub idle: Duration,
+    /// Time after which a connection whose bytes are not acknowledged is given up, if limited.
+    pub unacknowledged: Option<Duration>,
+    /// Whether bytes that have not left are dropped when a connection is closed.
+    pub drop_unsent: bool,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            connect: CONNECT_TIMEOUT,
+            idle: IDLE_LIMIT,
+            unacknowledged: None,
+            drop_unsent: false,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Host {
+    options: Options,
     permits: Arc<Semaphore>,
     idle: Mutex<Vec<Idle>>,
 }
@@ -58,7 +87,13 @@
     /// Creates a pool that opens at most `limit` connections to each server.
     #[must_use]
     pub fn new(limit: usize) -> Self {
-        Self { limit: limit.max(1), hosts: Mutex::default() }
+        Self::with_options(limit, Options::default())
+    }
+
+    /// Creates a pool whose connections are made and kept as `options` say.
+    #[must_use]
+    pub fn with_options(limit: usize, options: Options) -> Self {
+        Self { limit: limit.max(1), options, hosts: Mutex::default() }
     }
 
     /// Takes an idle connection or opens one, waiting while the limit is reached.
@@ -73,7 +108,7 @@
         let reused = host.take_idle();
         let tx = match reused {
             Some(tx) => tx,
-            None => connect(addr).await?,
+            None => connect(addr, &host.options).await?,
         };
         Ok(Lease { host, tx, _permit: permit })
     }
@@ -88,7 +123,7 @@
         let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
         let new = || {
             let permits = Arc::new(Semaphore::new(self.limit));
-            Arc::new(Host { permits, idle: Mutex::default() })
+            Arc::new(Host { options: self.options, permits, idle: Mutex::default() })
         };
         hosts.entry(addr).or_insert_with(new).clone()
     }
@@ -97,7 +132,7 @@
 impl Host {
     fn take_idle(&self) -> Option<SendRequest<Body>> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|i| i.since.elapsed() < IDLE_LIMIT && !i.tx.is_closed());
+        idle.retain(|i| i.since.elapsed() < self.options.idle && !i.tx.is_closed());
         let ready = idle.iter().rposition(|i| i.tx.is_ready())?;
         Some(idle.remove(ready).tx)
     }
@@ -139,12 +174,27 @@
     Error::new("connect", addr.to_string(), Cause::Unreachable(e.to_string()))
 }
 
-async fn connect(addr: SocketAddr) -> Result<SendRequest<Body>> {
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
+fn prepare(stream: &TcpStream, options: &Options) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    if options.drop_unsent {
+        stream.set_zero_linger()?;
+    }
+    if let Some(limit) = options.unacknowledged {
+        let ms = u32::try_from(limit.as_millis()).unwrap_or(u32::MAX);
+        sockopt::set_tcp_user_timeout(stream, ms)?;
+        sockopt::set_socket_keepalive(stream, true)?;
+        sockopt::set_tcp_keepidle(stream, KEEPALIVE)?;
+        sockopt::set_tcp_keepintvl(stream, KEEPALIVE)?;
+    }
+    Ok(())
+}
+
+async fn connect(addr: SocketAddr, options: &Options) -> Result<SendRequest<Body>> {
+    let stream = tokio::time::timeout(options.connect, TcpStream::connect(addr))
         .await
         .map_err(|e| unreachable(addr, &e))?
         .map_err(|e| unreachable(addr, &e))?;
-    let _ = stream.set_nodelay(true);
+    prepare(&stream, options).map_err(|e| unreachable(addr, &e))?;
     let (mut tx, conn) = hyper::client::conn::http1::Builder::new()
         .handshake(TokioIo::new(stream))
         .await
--- /dev/null
+++ b/src/rebalance.rs
@@ -0,0 +1,300 @@
+//! Which upstream should own which keys: everybody who may own keys gets some, and busy keys are
+//! spread by the load that each upstream can carry.
+
+use crate::{
+    catalog::Member,
+    collections::HashMap,
+    heat::Heat,
+    keymap::{KeyMap, Owner, Range},
+    steward::Reassignment,
+};
+use std::sync::Arc;
+
+/// Ranges that an upstream gets of keys that had no owner: busy keys lie close to one another, so
+/// a share in several places evens the load out.
+const STRIPES: u32 = 4;
+/// Utilization above the average from which an upstream gives keys away.
+const EXCESS: f64 = 0.15;
+/// Utilization below which nothing is moved for balance.
+const BUSY: f64 = 0.45;
+/// Utilization that a move must take off its giver at least, beyond what its taker gets.
+const MIN_GAIN: f64 = 0.08;
+/// Moves for balance that may be under way at once.
+const MAX_MOVES: usize = 8;
+/// Ranges for each upstream beyond which nothing is split for balance: each costs a renewal.
+const MAX_RANGES: usize = 10;
+/// Time in milliseconds that a request takes at an upstream of which nothing is known.
+const UNKNOWN_TIME_MS: f64 = 120.0;
+
+/// An upstream that may own keys, and its load.
+#[derive(Debug, Clone)]
+struct Candidate {
+    owner: Owner,
+    /// Requests per second that it can carry.
+    capacity: f64,
+    /// Requests per second for the keys that it owns.
+    rate: f64,
+    /// Keys that it owns.
+    keys: f64,
+}
+
+impl Candidate {
+    fn utilization(&self) -> f64 {
+        self.rate / self.capacity
+    }
+}
+
+fn owner_of(m: &Member) -> Owner {
+    Owner { id: m.id.clone(), started: m.started }
+}
+
+/// Plans the owners of keys that have none or whose owner may not keep them, and moves for balance.
+///
+/// `planned` holds the owners as they will be once the moves in `moving` are through.
+#[must_use]
+pub fn plan(
+    planned: &KeyMap,
+    moving: &[Range],
+    members: &[Arc<Member>],
+    heat: &Heat,
+) -> Vec<Reassignment> {
+    let mut candidates = candidates(planned, members, heat);
+    if candidates.is_empty() {
+        return Vec::new();
+    }
+    let mut changes = Vec::new();
+    let gaps = planned.gaps();
+    let homeless = homeless(planned, members);
+    if planned.spans.is_empty() {
+        return deal_out(&candidates);
+    }
+    for range in gaps.into_iter().chain(homeless) {
+        place(range, &mut candidates, heat, &mut changes);
+    }
+    if changes.is_empty() {
+        fill_newcomers(planned, moving, &mut candidates, heat, &mut changes);
+    }
+    if changes.is_empty() && planned.spans.len() < MAX_RANGES * candidates.len() {
+        balance(planned, moving, &mut candidates, heat, &mut changes);
+    }
+    changes
+}
+
+fn candidates(planned: &KeyMap, members: &[Arc<Member>], heat: &Heat) -> Vec<Candidate> {
+    let mut found: Vec<Candidate> = members
+        .iter()
+        .filter(|m| !m.leaving)
+        .map(|m| {
+            let time = heat.time(&m.id).unwrap_or(UNKNOWN_TIME_MS).max(1.0);
+            let capacity = f64::from(m.slots.max(1)) * 1_000.0 / time;
+            Candidate { owner: owner_of(m), capacity, rate: 0.0, keys: 0.0 }
+        })
+        .collect();
+    found.sort_by(|a, b| a.owner.id.cmp(&b.owner.id));
+    let index: HashMap<Owner, usize> =
+        found.iter().enumerate().map(|(n, c)| (c.owner.clone(), n)).collect();
+    for span in &planned.spans {
+        if let Some(n) = index.get(&span.owner) {
+            found[*n].rate += heat.rate(&span.range);
+            found[*n].keys += f64::from(span.range.len());
+        }
+    }
+    found
+}
+
+/// Returns the ranges whose owner is not among the members that may own keys.
+fn homeless(planned: &KeyMap, members: &[Arc<Member>]) -> Vec<Range> {
+    let stays = |o: &Owner| members.iter().any(|m| !m.leaving && m.is(&o.id, o.started));
+    planned.spans.iter().filter(|s| !stays(&s.owner)).map(|s| s.range).collect()
+}
+
+/// Deals all keys out in stripes, by capacity.
+fn deal_out(candidates: &[Candidate]) -> Vec<Reassignment> {
+    let total: f64 = candidates.iter().map(|c| c.capacity).sum::<f64>() * f64::from(STRIPES);
+    let last = f64::from(crate::keymap::Key::MAX);
+    let mut changes = Vec::new();
+    let mut sum = 0.0;
+    let mut from = 0u32;
+    for _ in 0..STRIPES {
+        for c in candidates {
+            sum += c.capacity;
+            #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a key")]
+            let to = (last * (sum / total)).round().clamp(0.0, last) as u16;
+            if u32::from(to) < from {
+                continue;
+            }
+            #[expect(clippy::cast_possible_truncation, reason = "a key")]
+            let range = Range::new(from as u16, to);
+            changes.push(Reassignment { range, to: c.owner.clone() });
+            from = u32::from(to) + 1;
+        }
+    }
+    changes
+}
+
+/// Gives a range to the upstreams with the most room, in parts where it is large or busy.
+fn place(
+    range: Range,
+    candidates: &mut [Candidate],
+    heat: &Heat,
+    changes: &mut Vec<Reassignment>,
+) {
+    // One part per candidate at most, none below 64 keys.
+    let parts = (range.len() / 64).clamp(1, STRIPES.min(u32::try_from(candidates.len()).unwrap_or(1)));
+    let step = range.len() / parts;
+    let mut from = u32::from(range.from);
+    for n in 0..parts {
+        let end = if n + 1 == parts { u32::from(range.to) } else { from + step - 1 };
+        #[expect(clippy::cast_possible_truncation, reason = "keys of a range")]
+        let part = Range::new(from as u16, end as u16);
+        from = end + 1;
+        let rate = heat.rate(&part);
+        let after = |c: &Candidate| {
+            let rate = (c.rate + rate) / c.capacity;
+            // Without load, the number of keys decides.
+            rate + 0.000_01 * c.keys / c.capacity
+        };
+        let best = candidates.iter_mut().min_by(|a, b| after(a).total_cmp(&after(b)));
+        if let Some(c) = best {
+            c.rate += rate;
+            c.keys += f64::from(part.len());
+            changes.push(Reassignment { range: part, to: c.owner.clone() });
+        }
+    }
+}
+
+/// Gives upstreams that own nothing a share of the keys of the busiest ones.
+fn fill_newcomers(
+    planned: &KeyMap,
+    moving: &[Range],
+    candidates: &mut [Candidate],
+    heat: &Heat,
+    changes: &mut Vec<Reassignment>,
+) {
+    let total: f64 = candidates.iter().map(|c| c.capacity).sum();
+    let newcomers: Vec<usize> =
+        (0..candidates.len()).filter(|n| candidates[*n].keys < 1.0).collect();
+    for n in newcomers {
+        let share = f64::from(crate::keymap::KEYS) * candidates[n].capacity / total;
+        for _ in 0..2 {
+            let taken: Vec<Range> =
+                moving.iter().copied().chain(changes.iter().map(|c| c.range)).collect();
+            let Some(giver) = widest(planned, &taken, candidates, n) else {
+                break;
+            };
+            let want = (share / 2.0).min(f64::from(giver.len()) / 2.0).max(1.0);
+            #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a key")]
+            let from = (f64::from(giver.to) - want + 1.0) as u16;
+            let range = Range::new(from.max(giver.from), giver.to);
+            candidates[n].keys += f64::from(range.len());
+            candidates[n].rate += heat.rate(&range);
+            changes.push(Reassignment { range, to: candidates[n].owner.clone() });
+        }
+    }
+}
+
+/// Returns the widest range of the busiest upstreams that nothing is moved from.
+fn widest(planned: &KeyMap, taken: &[Range], candidates: &[Candidate], not: usize) -> Option<Range> {
+    let weight = |s: &crate::keymap::Span| {
+        let owner = candidates.iter().find(|c| c.owner == s.owner);
+        let load = owner.map_or(0.0, |c| 0.1 + c.utilization());
+        f64::from(s.range.len()) * load
+    };
+    planned
+        .spans
+        .iter()
+        .filter(|s| s.owner != candidates[not].owner && s.range.len() > 1)
+        .filter(|s| !taken.iter().any(|t| t.overlaps(&s.range)))
+        .max_by(|a, b| weight(a).total_cmp(&weight(b)))
+        .map(|s| s.range)
+}
+
+/// Moves busy ranges from the upstreams with the highest utilization to those with the lowest.
+fn balance(
+    planned: &KeyMap,
+    moving: &[Range],
+    candidates: &mut [Candidate],
+    heat: &Heat,
+    changes: &mut Vec<Reassignment>,
+) {
+    let capacity: f64 = candidates.iter().map(|c| c.capacity).sum();
+    let average = candidates.iter().map(|c| c.rate).sum::<f64>() / capacity;
+    let free = MAX_MOVES.saturating_sub(moving.len());
+    let mut spent: Vec<usize> = Vec::new();
+    for _ in 0..free {
+        let by_use =
+            |a: &&usize, b: &&usize| candidates[**a].utilization().total_cmp(&candidates[**b].utilization());
+        let open: Vec<usize> = (0..candidates.len()).filter(|n| !spent.contains(n)).collect();
+        let Some(giver) = open.iter().max_by(by_use).copied() else {
+            return;
+        };
+        let all: Vec<usize> = (0..candidates.len()).collect();
+        let Some(taker) = all.iter().min_by(by_use).copied() else {
+            return;
+        };
+        let use_now = candidates[giver].utilization();
+        if use_now < BUSY.max(average + EXCESS) || giver == taker {
+            return;
+        }
+        let room = (average - candidates[taker].utilization()) * candidates[taker].capacity;
+        let excess = (use_now - average) * candidates[giver].capacity;
+        let taken: Vec<Range> =
+            moving.iter().copied().chain(changes.iter().map(|c| c.range)).collect();
+        let owner = &candidates[giver].owner;
+        let Some((range, rate)) = narrowest(planned, owner, &taken, heat, excess.min(room)) else {
+            spent.push(giver);
+            continue;
+        };
+        let after = (candidates[taker].rate + rate) / candidates[taker].capacity;
+        if after + MIN_GAIN > use_now {
+            spent.push(giver);
+            continue;
+        }
+        candidates[giver].rate -= rate;
+        candidates[giver].keys -= f64::from(range.len());
+        candidates[taker].rate += rate;
+        candidates[taker].keys += f64::from(range.len());
+        changes.push(Reassignment { range, to: candidates[taker].owner.clone() });
+    }
+}
+
+/// Returns the narrowest range of an owner with about `amount` requests per second, and its rate.
+///
+/// A range with more than that is taken only if it is a single key that alone exceeds it.
+fn narrowest(
+    planned: &KeyMap,
+    owner: &Owner,
+    taken: &[Range],
+    heat: &Heat,
+    amount: f64,
+) -> Option<(Range, f64)> {
+    let mut best: Option<(Range, f64)> = None;
+    let spans = planned.spans.iter().filter(|s| s.owner == *owner);
+    for span in spans.filter(|s| !taken.iter().any(|t| t.overlaps(&s.range))) {
+        let rates = heat.rates();
+        let mut from = span.range.from;
+        let mut sum = 0.0;
+        for to in span.range.from..=span.range.to {
+            sum += f64::from(rates[usize::from(to)]);
+            while sum > 1.2 * amount && from < to {
+                sum -= f64::from(rates[usize::from(from)]);
+                from += 1;
+            }
+            if sum < 0.5 * amount || sum > 1.2 * amount {
+                continue;
+            }
+            // Keys without load at the start only make the range wider.
+            while from < to && rates[usize::from(from)] < 1e-3 {
+                from += 1;
+            }
+            let range = Range::new(from, to);
+            let better = |b: &(Range, f64)| {
+                sum / f64::from(range.len()).sqrt() > b.1 / f64::from(b.0.len()).sqrt()
+            };
+            if best.as_ref().is_none_or(better) {
+                best = Some((range, sum));
+            }
+        }
+    }
+    best
+}
--- /dev/null
+++ b/src/steward.rs
@@ -0,0 +1,408 @@
+//! Decisions of the instance that holds a service's lease: which grants to renew, which keys to
+//! take back, and what to commit.
+//!
+//! A key changes its owner in this order: renewals stop, the owner releases the key or every grant
+//! that covers it has run out, the new owner is committed with a higher fence, and only then it is
+//! granted. A grant without an answer may be carried out late, so a release settles a key only if
+//! no such grant is left.
+
+use crate::{
+    clock::Millis,
+    collections::HashMap,
+    keymap::{KeyMap, Owner, Range, Span, subtract},
+};
+use std::sync::Arc;
+
+/// Identity of an order to an upstream.
+pub type OrderId = u64;
+
+/// Times that grants are made with, in milliseconds.
+#[derive(Debug, Clone, Copy)]
+pub struct GrantTimes {
+    /// How long a grant lasts while the store answers.
+    pub hold: Millis,
+    /// How long a grant lasts while the store does not answer, at most what upstreams accept.
+    pub outage_hold: Millis,
+    /// Time between renewals.
+    pub renew: Millis,
+    /// Time until a grant that was refused or not answered is sent again.
+    pub retry: Millis,
+}
+
+/// Share by which an upstream's clock may run slow, in thousandths.
+const DRIFT_PER_MILLE: Millis = 20;
+/// Time in milliseconds that a grant spends on its way, on top of its hold.
+const TRANSIT_MS: Millis = 150;
+/// Time in milliseconds after which an unanswered release is sent again.
+const RELEASE_RETRY_MS: Millis = 700;
+
+/// A grant to send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GrantOrder {
+    /// Identity of the order.
+    pub id: OrderId,
+    /// The keys.
+    pub range: Range,
+    /// Who gets them.
+    pub owner: Owner,
+    /// Fencing token.
+    pub fence: u64,
+    /// How long the grant lasts from its arrival, in milliseconds.
+    pub hold: Millis,
+    /// What the last owner handed over.
+    pub handover: Option<Arc<str>>,
+}
+
+/// A release to ask for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReleaseOrder {
+    /// Identity of the order.
+    pub id: OrderId,
+    /// The keys.
+    pub range: Range,
+    /// Who holds them.
+    pub owner: Owner,
+    /// Fencing token with which they were granted.
+    pub fence: u64,
+}
+
+/// How an order ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// It was carried out; a release may bring what the next owner should be given.
+    Done(Option<Arc<str>>),
+    /// The upstream has seen a higher fence.
+    Refused,
+    /// Nothing of it reached the upstream.
+    NotSent,
+    /// It may be carried out at any later time.
+    Unknown,
+}
+
+/// Keys that should get another owner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reassignment {
+    /// The keys.
+    pub range: Range,
+    /// Who should own them.
+    pub to: Owner,
+}
+
+/// Grants of a range that have been sent.
+#[derive(Debug, Clone)]
+struct Hold {
+    range: Range,
+    owner: Owner,
+    fence: u64,
+    /// When the last of them has run out for certain.
+    until: Millis,
+    /// When the next one is due.
+    due: Millis,
+    /// Those that have not been answered, and when they have run out for certain.
+    open: HashMap<OrderId, Millis>,
+    /// Whether one has been answered with success.
+    granted: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Move {
+    range: Range,
+    from: Option<(Owner, u64)>,
+    to: Owner,
+    began: Millis,
+    release: Option<OrderId>,
+    retry_at: Millis,
+    released: bool,
+    handover: Option<Arc<str>>,
+    in_commit: bool,
+}
+
+/// State of the instance that decides for one service.
+#[derive(Debug)]
+pub struct Steward {
+    times: GrantTimes,
+    map: KeyMap,
+    revision: u64,
+    /// Fences up to this one may be covered by grants of earlier stewards until `inherited_until`.
+    inherited_fence: u64,
+    inherited_until: Millis,
+    holds: Vec<Hold>,
+    moves: Vec<Move>,
+    next_order: OrderId,
+}
+
+fn bound(sent: Millis, hold: Millis) -> Millis {
+    sent + hold + hold * DRIFT_PER_MILLE / 1_000 + TRANSIT_MS
+}
+
+impl Steward {
+    /// Creates the state of a new holder of the lease, from the committed owners.
+    #[must_use]
+    pub fn new(now: Millis, times: GrantTimes, map: KeyMap, revision: u64) -> Self {
+        let inherited_until = bound(now, times.outage_hold);
+        let holds = Vec::new();
+        let moves = Vec::new();
+        let inherited_fence = revision + 1;
+        let next_order = 1;
+        Self {
+            times,
+            map,
+            revision,
+            inherited_fence,
+            inherited_until,
+            holds,
+            moves,
+            next_order,
+        }
+    }
+
+    /// Returns the committed owners.
+    #[must_use]
+    pub fn map(&self) -> &KeyMap {
+        &self.map
+    }
+
+    /// Returns the revision of the committed owners, 0 before the first commit.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the owners as they will be once all moves are through.
+    #[must_use]
+    pub fn planned(&self) -> KeyMap {
+        let mut map = self.map.clone();
+        for m in &self.moves {
+            map.assign(Span { range: m.range, owner: m.to.clone(), fence: u64::MAX, handover: None });
+        }
+        map
+    }
+
+    /// Returns the ranges that are about to change their owner.
+    #[must_use]
+    pub fn moving(&self) -> Vec<Range> {
+        self.moves.iter().map(|m| m.range).collect()
+    }
+
+    fn order_id(&mut self) -> OrderId {
+        let id = self.next_order;
+        self.next_order += 1;
+        id
+    }
+
+    /// Returns the grants that are due, and counts them as sent at `now`.
+    pub fn due_grants(&mut self, now: Millis, outage: bool) -> Vec<GrantOrder> {
+        self.holds.retain(|h| h.until > now || h.due > now);
+        let hold = if outage { self.times.outage_hold } else { self.times.hold };
+        let moving = self.moving();
+        let mut orders = Vec::new();
+        for span in self.map.spans.clone() {
+            for range in subtract(span.range, moving.iter().copied()) {
+                let known = self.hold_index(range, &span);
+                if self.holds[known].due > now {
+                    continue;
+                }
+                let id = self.order_id();
+                let until = bound(now, hold);
+                let due = now + self.times.renew;
+                let h = &mut self.holds[known];
+                h.until = h.until.max(until);
+                h.due = due;
+                h.open.insert(id, until);
+                let handover = span.handover.clone().filter(|_| !h.granted);
+                let (owner, fence) = (span.owner.clone(), span.fence);
+                orders.push(GrantOrder { id, range, owner, fence, hold, handover });
+            }
+        }
+        orders
+    }
+
+    /// Finds or creates the state of a range's grants.
+    fn hold_index(&mut self, range: Range, span: &Span) -> usize {
+        let same = |h: &Hold| h.range == range && h.fence == span.fence && h.owner == span.owner;
+        if let Some(n) = self.holds.iter().position(same) {
+            return n;
+        }
+        // A part of a range that has been granted inherits when its next grant is due.
+        let whole = self.holds.iter().find(|h| {
+            h.fence == span.fence && h.owner == span.owner && h.range.intersection(&range) == Some(range)
+        });
+        let (due, granted) = whole.map_or((0, false), |h| (h.due, h.granted));
+        let open = HashMap::default();
+        let (owner, fence) = (span.owner.clone(), span.fence);
+        self.holds.push(Hold { range, owner, fence, until: 0, due, open, granted });
+        self.holds.len() - 1
+    }
+
+    /// Makes all grants due at once.
+    pub fn renew_all(&mut self) {
+        self.holds.iter_mut().for_each(|h| h.due = 0);
+    }
+
+    /// Takes in how a grant ended.
+    pub fn on_grant(&mut self, now: Millis, id: OrderId, answer: &Answer) {
+        let retry = now + self.times.retry;
+        let Some(h) = self.holds.iter_mut().find(|h| h.open.contains_key(&id)) else {
+            return;
+        };
+        match answer {
+            Answer::Done(_) => {
+                h.open.remove(&id);
+                h.granted = true;
+            }
+            Answer::Refused | Answer::NotSent => {
+                h.open.remove(&id);
+                h.due = h.due.min(retry);
+            }
+            Answer::Unknown => h.due = h.due.min(retry),
+        }
+    }
+
+    /// Returns when the last grant of a part of `range` to `owner` has run out for certain.
+    fn held_until(&self, range: &Range, owner: &Owner, fence: u64) -> Millis {
+        let sent = self.holds.iter().filter(|h| h.owner == *owner && h.range.overlaps(range));
+        let sent = sent.map(|h| h.until).max().unwrap_or(0);
+        if fence <= self.inherited_fence { sent.max(self.inherited_until) } else { sent }
+    }
+
+    /// Returns until when a grant that was not answered may still be carried out.
+    fn open_until(&self, now: Millis, range: &Range, owner: &Owner, fence: u64) -> Millis {
+        let held = self.holds.iter().filter(|h| h.owner == *owner && h.range.overlaps(range));
+        let open = held.flat_map(|h| h.open.values()).copied().filter(|t| *t > now).max();
+        let open = open.unwrap_or(0);
+        if fence <= self.inherited_fence { open.max(self.inherited_until) } else { open }
+    }
+
+    /// Begins to move keys; parts that are moving already or stay with their owner are left out.
+    pub fn reassign(&mut self, now: Millis, change: &Reassignment) {
+        for range in subtract(change.range, self.moving()) {
+            let owned: Vec<Span> =
+                self.map.spans.iter().filter(|s| s.range.overlaps(&range)).cloned().collect();
+            for gap in subtract(range, owned.iter().map(|s| s.range)) {
+                self.begin(now, gap, None, change.to.clone());
+            }
+            for span in owned.into_iter().filter(|s| s.owner != change.to) {
+                if let Some(part) = span.range.intersection(&range) {
+                    self.begin(now, part, Some((span.owner, span.fence)), change.to.clone());
+                }
+            }
+        }
+    }
+
+    fn begin(&mut self, now: Millis, range: Range, from: Option<(Owner, u64)>, to: Owner) {
+        let released = from.is_none();
+        self.moves.push(Move {
+            range,
+            from,
+            to,
+            began: now,
+            release: None,
+            retry_at: now,
+            released,
+            handover: None,
+            in_commit: false,
+        });
+    }
+
+    /// Returns the releases to ask for.
+    pub fn due_releases(&mut self, now: Millis) -> Vec<ReleaseOrder> {
+        let mut orders = Vec::new();
+        for m in &mut self.moves {
+            let Some((owner, fence)) = m.from.clone().filter(|_| !m.released) else {
+                continue;
+            };
+            if m.release.is_some() || now < m.retry_at || m.in_commit {
+                continue;
+            }
+            let id = self.next_order;
+            self.next_order += 1;
+            m.release = Some(id);
+            orders.push(ReleaseOrder { id, range: m.range, owner, fence });
+        }
+        orders
+    }
+
+    /// Takes in how a release ended.
+    pub fn on_release(&mut self, now: Millis, id: OrderId, answer: &Answer) {
+        let Some(m) = self.moves.iter_mut().find(|m| m.release == Some(id)) else {
+            return;
+        };
+        if let Answer::Done(handover) = answer {
+            m.released = true;
+            m.handover.clone_from(handover);
+        } else {
+            m.release = None;
+            m.retry_at = now + RELEASE_RETRY_MS;
+        }
+    }
+
+    /// Notes incarnations that are known to have ended: they hold nothing any more.
+    pub fn on_ended(&mut self, ended: impl Fn(&Owner) -> bool) {
+        for m in &mut self.moves {
+            if m.from.as_ref().is_some_and(|(owner, _)| ended(owner)) {
+                m.from = None;
+                m.released = true;
+            }
+        }
+        self.holds.retain(|h| !ended(&h.owner));
+    }
+
+    fn is_free(&self, now: Millis, m: &Move) -> bool {
+        let Some((owner, fence)) = &m.from else {
+            return true;
+        };
+        if m.released {
+            return now >= self.open_until(now, &m.range, owner, *fence);
+        }
+        now >= self.held_until(&m.range, owner, *fence)
+    }
+
+    /// Returns the owners to commit next, if any key is free for its new owner.
+    pub fn next_commit(&mut self, now: Millis) -> Option<KeyMap> {
+        let free: Vec<bool> = self.moves.iter().map(|m| self.is_free(now, m)).collect();
+        if !free.contains(&true) {
+            return None;
+        }
+        let fence = self.revision + 1;
+        let mut map = self.map.clone();
+        for span in &mut map.spans {
+            // A handover is of use for the first grant only.
+            let holds = &self.holds;
+            let granted = |h: &&Hold| h.fence == span.fence && h.range == span.range && h.granted;
+            if holds.iter().any(|h| granted(&h)) {
+                span.handover = None;
+            }
+        }
+        for (m, free) in self.moves.iter_mut().zip(free) {
+            m.in_commit = free;
+            if free {
+                let (range, owner, handover) = (m.range, m.to.clone(), m.handover.clone());
+                map.assign(Span { range, owner, fence, handover });
+            }
+        }
+        Some(map)
+    }
+
+    /// Notes that `map` has been committed with `revision`.
+    pub fn on_committed(&mut self, map: KeyMap, revision: u64) {
+        self.map = map;
+        self.revision = revision;
+        self.moves.retain(|m| !m.in_commit);
+    }
+
+    /// Notes that the last commit was not carried out and never will be.
+    pub fn on_not_committed(&mut self) {
+        self.moves.iter_mut().for_each(|m| m.in_commit = false);
+    }
+
+    /// Returns how long the oldest move has been under way, in milliseconds.
+    #[must_use]
+    pub fn oldest_move(&self, now: Millis) -> Millis {
+        self.moves.iter().map(|m| now.saturating_sub(m.began)).max().unwrap_or(0)
+    }
+
+    /// Returns the moves, for tests and logs: keys, whether released, and the new owner.
+    pub fn moves(&self) -> impl Iterator<Item = (Range, bool, &Owner)> {
+        self.moves.iter().map(|m| (m.range, m.released, &m.to))
+    }
+}
--- /dev/null
+++ b/src/stewardship.rs
@@ -0,0 +1,601 @@
+//! Carries out the decisions about the owners of a service's keys: takes the lease, commits owners,
+//! sends grants and releases, and reports load to whoever holds the lease.
+
+use crate::{
+    catalog::Member,
+    clock::{Millis, boot_millis},
+    collections::HashMap,
+    error::Result,
+    gossip::{self, Message},
+    heat::{Heat, HeatReport},
+    keymap::{KeyMap, Owner},
+    lease::{self, Lease, LeaseRow},
+    node::Node,
+    ports::{Change, Changed, Row, RowName},
+    rebalance,
+    steward::{Answer, GrantTimes, OrderId, Steward},
+    views::{Entry, Kind, Value},
+};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use tokio::sync::{mpsc, oneshot};
+
+const TICK: Duration = Duration::from_millis(40);
+/// Time in milliseconds between reports of load, which also show whether the holder acts.
+const REPORT_MS: Millis = 500;
+/// Time in milliseconds without word of the holder after which the lease is watched: two reports.
+const SUSPECT_MS: Millis = 900;
+/// Time in milliseconds between looks at the lease while it is watched.
+const LOOK_MS: Millis = 300;
+/// Time in milliseconds by which the instance that is next by name watches later.
+const STAGGER_MS: Millis = 60;
+/// Time in milliseconds after which a call that the store has not answered counts as trouble.
+const SLOW_CALL_MS: Millis = 400;
+/// Time in milliseconds until a call that failed is made again.
+const RETRY_MS: Millis = 120;
+/// Time in milliseconds between plans.
+const PLAN_MS: Millis = 250;
+/// How long a grant lasts while the store answers: a takeover and two renewals fit in.
+const HOLD_MS: Millis = 4_500;
+const RENEW_MS: Millis = 1_200;
+const GRANT_RETRY_MS: Millis = 250;
+/// Time that a release may take: the work that runs ends first.
+const RELEASE_LIMIT: Duration = Duration::from_secs(5);
+/// Time at a planned stop for the lease to be given back.
+const RESIGN_LIMIT: Duration = Duration::from_millis(600);
+
+/// Group of the rows by which instances find each other.
+pub(crate) const INSTANCES: &str = "instances";
+
+/// What the tasks of a duty are told.
+enum Event {
+    Heat(HeatReport),
+    Granted(OrderId, Answer),
+    Released(OrderId, Answer),
+    Changed { sent: Millis, commit: Option<KeyMap>, changed: Changed },
+    LeaseRead { sent: Millis, row: Result<Option<Row>> },
+    OwnersRead(Result<Option<Row>>),
+    Resign(oneshot::Sender<()>),
+}
+
+/// The part of an instance in deciding about one service's keys.
+#[derive(Debug)]
+pub(crate) struct Duty {
+    tx: mpsc::UnboundedSender<Event>,
+    /// When the holder of the lease was last heard of.
+    heard: Rc<Cell<Millis>>,
+    acting: Rc<Cell<bool>>,
+}
+
+struct Run {
+    node: Rc<Node>,
+    service: Arc<str>,
+    tx: mpsc::UnboundedSender<Event>,
+    heard: Rc<Cell<Millis>>,
+    acting: Rc<Cell<bool>>,
+    lease: Lease,
+    steward: Option<Steward>,
+    heat: Heat,
+    addresses: HashMap<Owner, SocketAddr>,
+    /// When the call to the store that is under way was sent.
+    busy: Option<Millis>,
+    /// Owners whose commit may still be carried out.
+    unsettled: Option<KeyMap>,
+    read_back: bool,
+    outage: bool,
+    next_call: Millis,
+    renewed: Millis,
+    reported: Millis,
+    planned: Millis,
+    resigned: bool,
+}
+
+/// Starts the duty for a service unless it runs.
+pub(crate) fn start(node: &Rc<Node>, service: &Arc<str>) {
+    let mut duties = node.duties.borrow_mut();
+    if duties.contains_key(service) {
+        return;
+    }
+    let (tx, rx) = mpsc::unbounded_channel();
+    let now = boot_millis();
+    // An instance that has just started gives a holder time to be heard of.
+    let heard = Rc::new(Cell::new(now));
+    let acting = Rc::new(Cell::new(false));
+    let duty = Duty { tx: tx.clone(), heard: heard.clone(), acting: acting.clone() };
+    duties.insert(service.clone(), duty);
+    let run = Run {
+        node: node.clone(),
+        service: service.clone(),
+        tx,
+        heard,
+        acting,
+        lease: Lease::new(node.cfg.name.clone(), node.process),
+        steward: None,
+        heat: Heat::new(now),
+        addresses: HashMap::default(),
+        busy: None,
+        unsettled: None,
+        read_back: false,
+        outage: false,
+        next_call: now + rand::random_range(0..LOOK_MS),
+        renewed: 0,
+        reported: 0,
+        planned: 0,
+        resigned: false,
+    };
+    tokio::task::spawn_local(run.run(rx));
+}
+
+/// Takes in a report of load; returns whether this instance decides about the service.
+pub(crate) fn on_heat(node: &Node, service: &str, report: Option<HeatReport>) -> bool {
+    let duties = node.duties.borrow();
+    let Some(duty) = duties.get(service) else {
+        return false;
+    };
+    if let Some(report) = report {
+        // The task ends only with the process.
+        let _ = duty.tx.send(Event::Heat(report));
+    }
+    duty.acting.get()
+}
+
+/// Takes in whether another instance decides about the service.
+pub(crate) fn on_acting(node: &Node, service: &str, acting: bool) {
+    if let Some(duty) = node.duties.borrow().get(service) {
+        // One that does not act any more has given the lease back or cannot renew it.
+        duty.heard.set(if acting { boot_millis() } else { 0 });
+    }
+}
+
+/// Gives all leases back.
+pub(crate) async fn resign_all(node: &Node) {
+    let mut waits = Vec::new();
+    for duty in node.duties.borrow().values() {
+        let (tx, rx) = oneshot::channel();
+        if duty.tx.send(Event::Resign(tx)).is_ok() {
+            waits.push(rx);
+        }
+    }
+    let all = futures::future::join_all(waits);
+    if tokio::time::timeout(RESIGN_LIMIT, all).await.is_err() {
+        log::warn!("a lease could not be given back in time");
+    }
+}
+
+impl Run {
+    async fn run(mut self, mut rx: mpsc::UnboundedReceiver<Event>) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                event = rx.recv() => match event {
+                    Some(event) => self.on_event(event),
+                    None => return,
+                },
+                _ = tick.tick() => {}
+            }
+            while let Ok(event) = rx.try_recv() {
+                self.on_event(event);
+            }
+            self.step();
+        }
+    }
+
+    fn row(&self, followed: bool, key: &str) -> RowName {
+        RowName { followed, group: self.service.clone(), key: key.into() }
+    }
+
+    fn lease_row(&self) -> RowName {
+        self.row(false, "lease")
+    }
+
+    fn owners_row(&self) -> RowName {
+        self.row(true, "owners")
+    }
+
+    fn on_event(&mut self, event: Event) {
+        let now = boot_millis();
+        match event {
+            Event::Heat(report) => self.heat.add(&report),
+            Event::Granted(id, answer) => {
+                if let Some(s) = &mut self.steward {
+                    s.on_grant(now, id, &answer);
+                }
+            }
+            Event::Released(id, answer) => {
+                if let Some(s) = &mut self.steward {
+                    s.on_release(now, id, &answer);
+                }
+            }
+            Event::Changed { sent, commit, changed } => self.on_changed(now, sent, commit, &changed),
+            Event::LeaseRead { sent, row } => self.on_lease_read(now, sent, row),
+            Event::OwnersRead(row) => self.on_owners_read(now, row),
+            Event::Resign(done) => self.resign(done),
+        }
+    }
+
+    fn step(&mut self) {
+        let now = boot_millis();
+        if now >= self.reported + REPORT_MS {
+            self.reported = now;
+            self.report();
+        }
+        if self.resigned {
+            return;
+        }
+        if self.busy.is_some_and(|sent| now >= sent + SLOW_CALL_MS) {
+            self.on_outage();
+        }
+        if self.busy.is_none() && now >= self.next_call {
+            self.call_store(now);
+        }
+        let acting = self.lease.may_act(now) && self.steward.is_some();
+        if self.acting.replace(acting) != acting {
+            let service = &*self.service;
+            log::info!(service, acting, outage = self.outage; "authority over keys changed");
+        }
+        if acting {
+            self.heard.set(now);
+            self.act(now);
+        }
+    }
+
+    /// Sends this instance's counts to whoever decides.
+    fn report(&mut self) {
+        let report = self.node.take_heat(&self.service);
+        if self.acting.get() {
+            if let Some(report) = report {
+                self.heat.add(&report);
+            }
+            return;
+        }
+        let steward = self.node.views.borrow().steward(&self.service).cloned();
+        if let Some(name) = steward.filter(|n| *n != self.node.cfg.name) {
+            let service = self.service.clone();
+            gossip::send(&self.node, &name, Message::Heat { service, report });
+        }
+    }
+
+    fn on_outage(&mut self) {
+        if !self.outage {
+            self.outage = true;
+            if let Some(s) = &mut self.steward {
+                // Longer grants go out while this instance may still act.
+                s.renew_all();
+                log::warn!(service = &*self.service; "the store does not answer, grants last longer");
+            }
+        }
+    }
+
+    /// Makes the call to the store that is due, if any.
+    fn call_store(&mut self, now: Millis) {
+        if self.lease.held().is_some() {
+            if self.read_back {
+                self.read(now, self.lease_row());
+            } else if self.steward.is_none() {
+                self.read(now, self.owners_row());
+            } else if let Some(map) = self.unsettled.clone() {
+                self.change(now, Some(map));
+            } else if let Some(map) = self.steward.as_mut().and_then(|s| s.next_commit(now)) {
+                self.change(now, Some(map));
+            } else if now >= self.renewed + lease::RENEW_MS {
+                self.change(now, None);
+            }
+            return;
+        }
+        let rank = self.rank();
+        if now >= self.heard.get() + SUSPECT_MS + rank * STAGGER_MS || self.is_unknown() {
+            self.next_call = now + LOOK_MS;
+            self.read(now, self.lease_row());
+        }
+    }
+
+    fn is_unknown(&self) -> bool {
+        self.node.views.borrow().steward(&self.service).is_none()
+    }
+
+    /// Returns the position of this instance among all by name.
+    fn rank(&self) -> Millis {
+        let views = self.node.views.borrow();
+        views.instances().filter(|(name, _)| **name < self.node.cfg.name).count() as Millis
+    }
+
+    fn read(&mut self, now: Millis, name: RowName) {
+        self.busy = Some(now);
+        let is_lease = !name.followed;
+        let call = (self.node.ports.table.read)(name);
+        let tx = self.tx.clone();
+        tokio::task::spawn_local(async move {
+            let row = call.await;
+            let event = if is_lease {
+                Event::LeaseRead { sent: now, row }
+            } else {
+                Event::OwnersRead(row)
+            };
+            let _ = tx.send(event);
+        });
+    }
+
+    /// Renews or takes the lease, and commits owners with it.
+    fn change(&mut self, now: Millis, commit: Option<KeyMap>) {
+        let held = self.lease.held().unwrap_or(0);
+        self.change_from(now, held, commit);
+    }
+
+    fn change_from(&mut self, now: Millis, lease_revision: u64, commit: Option<KeyMap>) {
+        let row = self.lease.next_row();
+        let mut change = Change::default();
+        change.expect.push((self.lease_row(), lease_revision));
+        change.put.push((self.lease_row(), encode(&row)));
+        if self.lease.held().is_none() {
+            let name = self.node.cfg.name.as_bytes().to_vec();
+            change.put.push((self.row(true, "steward"), name));
+        }
+        if let Some(map) = &commit {
+            let revision = self.steward.as_ref().map_or(0, Steward::revision);
+            change.expect.push((self.owners_row(), revision));
+            change.put.push((self.owners_row(), encode(map)));
+        }
+        self.busy = Some(now);
+        self.renewed = now;
+        let call = (self.node.ports.table.change)(change);
+        let tx = self.tx.clone();
+        tokio::task::spawn_local(async move {
+            let changed = call.await;
+            let _ = tx.send(Event::Changed { sent: now, commit, changed });
+        });
+    }
+
+    fn on_changed(&mut self, now: Millis, sent: Millis, commit: Option<KeyMap>, changed: &Changed) {
+        self.busy = None;
+        match changed {
+            Changed::Done(revision) => {
+                let taken = self.lease.held().is_none();
+                self.lease.on_written(sent, *revision);
+                self.outage = now >= sent + SLOW_CALL_MS;
+                if taken {
+                    log::info!(service = &*self.service, revision; "took the lease");
+                    self.note_steward(*revision);
+                }
+                if let Some(map) = commit {
+                    self.on_committed(map, *revision);
+                }
+            }
+            Changed::Conflict => {
+                self.unsettled = commit;
+                self.read_back = self.lease.held().is_some();
+            }
+            Changed::NotDone => {
+                if self.unsettled.is_none()
+                    && let Some(s) = &mut self.steward
+                {
+                    s.on_not_committed();
+                }
+                self.on_outage();
+                self.next_call = now + RETRY_MS;
+            }
+            Changed::Unknown => {
+                if commit.is_some() {
+                    self.unsettled = commit;
+                }
+                self.read_back = self.lease.held().is_some();
+                self.on_outage();
+                self.next_call = now + RETRY_MS;
+            }
+        }
+    }
+
+    fn note_steward(&self, revision: u64) {
+        let value = Some(Value::Steward(self.node.cfg.name.clone()));
+        let key = self.service.clone();
+        let entry = Entry { kind: Kind::Steward, key, revision, value };
+        self.node.update(|views, now| views.merge(now, [entry]));
+    }
+
+    fn on_committed(&mut self, map: KeyMap, revision: u64) {
+        self.unsettled = None;
+        let Some(s) = &mut self.steward else {
+            return;
+        };
+        s.on_committed(map.clone(), revision);
+        log::info!(
+            service = &*self.service, revision, spans = map.spans.len(), moving = s.moves().count();
+            "owners committed"
+        );
+        let value = Some(Value::Owners(Arc::new(map)));
+        let entry = Entry { kind: Kind::Owners, key: self.service.clone(), revision, value };
+        self.node.update(|views, now| views.merge(now, [entry]));
+    }
+
+    fn on_lease_read(&mut self, now: Millis, sent: Millis, row: Result<Option<Row>>) {
+        self.busy = None;
+        let row = match row {
+            Ok(row) => row,
+            Err(e) => {
+                log::debug!(service = &*self.service; "{e}");
+                self.next_call = now + RETRY_MS;
+                return;
+            }
+        };
+        // A row that cannot be read is watched like one of a holder that never renews it.
+        let unreadable = LeaseRow { holder: Some("".into()), process: 0, number: 0 };
+        let parsed = row.as_ref().map(|r| (decode(&r.value).unwrap_or(unreadable), r.revision));
+        let held = self.lease.held().is_some();
+        let take = self.lease.on_read(sent, parsed.as_ref().map(|(r, n)| (r, *n)));
+        if held && self.lease.held().is_none() {
+            log::warn!(service = &*self.service; "lost the lease");
+            self.steward = None;
+            self.unsettled = None;
+            self.read_back = false;
+            self.heard.set(now);
+        }
+        if self.lease.held().is_some() {
+            // The lease is this instance's; see whether the owners were committed.
+            self.read_back = false;
+            if self.unsettled.is_some() {
+                self.read(now, self.owners_row());
+            }
+        } else if let Some(revision) = take {
+            self.change_from(now, revision, None);
+        }
+    }
+
+    fn on_owners_read(&mut self, now: Millis, row: Result<Option<Row>>) {
+        self.busy = None;
+        let row = match row {
+            Ok(row) => row,
+            Err(e) => {
+                log::debug!(service = &*self.service; "{e}");
+                self.next_call = now + RETRY_MS;
+                return;
+            }
+        };
+        let revision = row.as_ref().map_or(0, |r| r.revision);
+        let map = row.as_ref().and_then(|r| decode::<KeyMap>(&r.value));
+        if row.is_some() && map.is_none() {
+            log::error!(service = &*self.service, revision; "the row of owners cannot be read");
+        }
+        match &self.steward {
+            None => {
+                let map = map.unwrap_or_default();
+                log::info!(service = &*self.service, revision, spans = map.spans.len(); "owners read");
+                self.steward = Some(Steward::new(now, times(&self.node), map, revision));
+            }
+            Some(s) if s.revision() == revision => {}
+            Some(_) => match (self.unsettled.take(), map) {
+                (Some(own), Some(map)) if own == map => self.on_committed(map, revision),
+                (_, map) => {
+                    log::warn!(service = &*self.service, revision; "owners changed by another");
+                    let map = map.unwrap_or_default();
+                    self.steward = Some(Steward::new(now, times(&self.node), map, revision));
+                }
+            },
+        }
+    }
+
+    /// Sends what is due and plans changes.
+    fn act(&mut self, now: Millis) {
+        let members = self.members();
+        for m in &members {
+            let owner = Owner { id: m.id.clone(), started: m.started };
+            self.addresses.insert(owner, m.address);
+        }
+        let Some(s) = &mut self.steward else {
+            return;
+        };
+        s.on_ended(|o| members.iter().any(|m| m.id == o.id && m.started > o.started));
+        if now >= self.planned + PLAN_MS && self.unsettled.is_none() {
+            self.planned = now;
+            self.heat.decay(now);
+            for change in rebalance::plan(&s.planned(), &s.moving(), &members, &self.heat) {
+                let (range, to) = (change.range, &change.to);
+                log::info!(
+                    service = &*self.service, from = range.from, to = range.to, owner = &*to.id,
+                    rate = self.heat.rate(&range);
+                    "keys are to move"
+                );
+                s.reassign(now, &change);
+            }
+        }
+        let grants = s.due_grants(now, self.outage);
+        let releases = s.due_releases(now);
+        for order in grants {
+            self.send_grant(order);
+        }
+        for order in releases {
+            self.send_release(order);
+        }
+    }
+
+    fn send_grant(&self, order: crate::steward::GrantOrder) {
+        let (id, tx) = (order.id, self.tx.clone());
+        let Some(address) = self.addresses.get(&order.owner).copied() else {
+            let _ = tx.send(Event::Granted(id, Answer::NotSent));
+            return;
+        };
+        let call = (self.node.ports.orders.grant)(address, order);
+        tokio::task::spawn_local(async move {
+            let _ = tx.send(Event::Granted(id, call.await));
+        });
+    }
+
+    fn send_release(&self, order: crate::steward::ReleaseOrder) {
+        let (id, tx) = (order.id, self.tx.clone());
+        let Some(address) = self.addresses.get(&order.owner).copied() else {
+            let _ = tx.send(Event::Released(id, Answer::NotSent));
+            return;
+        };
+        let call = (self.node.ports.orders.release)(address, order);
+        tokio::task::spawn_local(async move {
+            let answer = tokio::time::timeout(RELEASE_LIMIT, call).await;
+            let _ = tx.send(Event::Released(id, answer.unwrap_or(Answer::Unknown)));
+        });
+    }
+
+    fn members(&self) -> Vec<Arc<Member>> {
+        let services = self.node.services.borrow();
+        services.get(&self.service).map_or_else(Vec::new, |s| s.members.values().cloned().collect())
+    }
+
+    /// Gives the lease back, so that another instance can take it at once.
+    fn resign(&mut self, done: oneshot::Sender<()>) {
+        self.resigned = true;
+        self.acting.set(false);
+        let Some(held) = self.lease.held() else {
+            let _ = done.send(());
+            return;
+        };
+        let row = self.lease.final_row();
+        let expect = vec![(self.lease_row(), held)];
+        let put = vec![(self.lease_row(), encode(&row))];
+        let call = (self.node.ports.table.change)(Change { expect, put });
+        self.lease.on_lost();
+        self.steward = None;
+        tokio::task::spawn_local(async move {
+            let changed = call.await;
+            log::info!(given_back = changed != Changed::Unknown; "gave the lease back");
+            let _ = done.send(());
+        });
+    }
+}
+
+fn times(node: &Node) -> GrantTimes {
+    GrantTimes {
+        hold: HOLD_MS.min(node.cfg.max_hold_ms),
+        outage_hold: node.cfg.max_hold_ms,
+        renew: RENEW_MS,
+        retry: GRANT_RETRY_MS,
+    }
+}
+
+/// Encodes a row's value.
+pub(crate) fn encode(value: &impl serde::Serialize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    if let Err(e) = ciborium::into_writer(value, &mut bytes) {
+        log::error!("encode row: {e}");
+    }
+    bytes
+}
+
+/// Decodes a row's value, `None` if it is not of this type.
+pub(crate) fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    ciborium::from_reader(bytes).ok()
+}
+
+/// Decodes a followed row of the shared table into an entry.
+#[must_use]
+pub fn followed_entry(group: &Arc<str>, row: &Row) -> Option<Entry> {
+    if **group == *INSTANCES {
+        let (key, revision) = (row.key.clone(), row.revision);
+        let value = decode(&row.value).map(Value::Instance);
+        return Some(Entry { kind: Kind::Instance, key, revision, value });
+    }
+    let (kind, value) = match &*row.key {
+        "owners" => (Kind::Owners, decode(&row.value).map(|m| Value::Owners(Arc::new(m)))),
+        "steward" => {
+            let name = String::from_utf8(row.value.clone()).ok();
+            (Kind::Steward, name.map(|n| Value::Steward(n.into())))
+        }
+        _ => return None,
+    };
+    Some(Entry { kind, key: group.clone(), revision: row.revision, value })
+}
--- /dev/null
+++ b/src/views.rs
@@ -0,0 +1,245 @@
+//! What an instance knows of the shared state: the newest revision of each entry, wherever it was
+//! learnt.
+//!
+//! Entries come from the store's feeds and from other instances. The higher revision wins, so the
+//! order of arrival does not matter, and nothing ever goes back.
+
+use crate::{
+    catalog::{Catalog, Member},
+    clock::Millis,
+    collections::HashMap,
+    keymap::KeyMap,
+};
+use serde::{Deserialize, Serialize};
+use std::{net::SocketAddr, sync::Arc};
+
+/// Time in milliseconds for which an upstream is kept whose entry lapsed while the store was in
+/// trouble: the platform restores entries of live upstreams within two seconds.
+const LAPSE_GRACE_MS: Millis = 2_000;
+/// Time in milliseconds after trouble of the store for which a missing entry counts as lapsed.
+const LAPSE_SPAN_MS: Millis = 1_500;
+
+/// What kind of thing an entry tells of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Kind {
+    /// The configuration; its key is empty.
+    Catalog,
+    /// An upstream, by identity.
+    Member,
+    /// The owners of a service's keys, by service.
+    Owners,
+    /// An entry instance, by name.
+    Instance,
+    /// The instance that decides about a service's keys, by service.
+    Steward,
+}
+
+/// All kinds, in the order of their numbers in a digest.
+pub const KINDS: [Kind; 5] =
+    [Kind::Catalog, Kind::Member, Kind::Owners, Kind::Instance, Kind::Steward];
+
+/// Where another entry instance is reached.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Peer {
+    /// Address for other instances.
+    pub address: SocketAddr,
+    /// Data centre that it runs in.
+    pub data_center: Arc<str>,
+}
+
+/// What an entry tells.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Value {
+    /// The configuration.
+    Catalog(Arc<Catalog>),
+    /// An upstream.
+    Member(Arc<Member>),
+    /// The owners of a service's keys.
+    Owners(Arc<KeyMap>),
+    /// An entry instance.
+    Instance(Peer),
+    /// Name of the instance that decides.
+    Steward(Arc<str>),
+}
+
+/// One thing at one revision.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Entry {
+    /// What kind of thing.
+    pub kind: Kind,
+    /// Which one of the kind.
+    pub key: Arc<str>,
+    /// Revision of the store at which it changed.
+    pub revision: u64,
+    /// The thing, `None` once it is deleted or cannot be read.
+    pub value: Option<Value>,
+}
+
+/// Revisions up to which an instance knows everything, in the order of [`KINDS`].
+pub type Digest = [u64; KINDS.len()];
+
+/// The newest revision of each entry.
+#[derive(Debug, Default)]
+pub struct Views {
+    entries: HashMap<(Kind, Arc<str>), Entry>,
+    digest: Digest,
+    lapsed: HashMap<Arc<str>, (Arc<Member>, Millis)>,
+    trouble_until: Option<Millis>,
+    catalog: Option<Arc<Catalog>>,
+}
+
+fn number(kind: Kind) -> usize {
+    kind as usize
+}
+
+impl Views {
+    /// Takes entries over; returns whether anything changed.
+    pub fn merge(&mut self, now: Millis, entries: impl IntoIterator<Item = Entry>) -> bool {
+        entries.into_iter().fold(false, |changed, e| self.merge_one(now, e) || changed)
+    }
+
+    fn merge_one(&mut self, now: Millis, entry: Entry) -> bool {
+        let at = (entry.kind, entry.key.clone());
+        let old = self.entries.get(&at);
+        if old.is_some_and(|o| o.revision >= entry.revision) {
+            return false;
+        }
+        if entry.kind == Kind::Catalog {
+            // An unreadable or older version never replaces one that is in force.
+            let Some(Value::Catalog(new)) = &entry.value else {
+                return false;
+            };
+            if self.catalog.as_ref().is_some_and(|c| c.version > new.version) {
+                return false;
+            }
+            self.catalog = Some(new.clone());
+        }
+        if entry.kind == Kind::Member {
+            self.note_lapse(now, old.and_then(|o| o.value.clone()), &entry);
+        }
+        self.entries.insert(at, entry);
+        true
+    }
+
+    /// Remembers an upstream whose entry vanished during or just after trouble of the store.
+    fn note_lapse(&mut self, now: Millis, old: Option<Value>, new: &Entry) {
+        let troubled = self.trouble_until.is_some_and(|t| now < t + LAPSE_SPAN_MS);
+        match (old, &new.value) {
+            (Some(Value::Member(m)), None) if troubled && !m.leaving => {
+                let until = self.trouble_until.unwrap_or(now).max(now) + LAPSE_GRACE_MS;
+                self.lapsed.insert(new.key.clone(), (m, until));
+            }
+            _ => {
+                self.lapsed.remove(&new.key);
+            }
+        }
+    }
+
+    /// Notes that the store failed to answer at `now`.
+    pub fn on_store_trouble(&mut self, now: Millis) {
+        self.trouble_until = Some(now);
+    }
+
+    /// Replaces everything of a kind by what the store holds at `revision`.
+    pub fn replace(&mut self, now: Millis, kind: Kind, revision: u64, entries: Vec<Entry>) -> bool {
+        let present: Vec<Arc<str>> = entries.iter().map(|e| e.key.clone()).collect();
+        let gone: Vec<Entry> = self
+            .entries
+            .values()
+            .filter(|e| e.kind == kind && e.value.is_some() && e.revision <= revision)
+            .filter(|e| !present.contains(&e.key))
+            .map(|e| Entry { revision, value: None, ..e.clone() })
+            .collect();
+        let changed = self.merge(now, entries) | self.merge(now, gone);
+        self.note_complete(kind, revision);
+        changed
+    }
+
+    /// Notes that everything of a kind is known up to `revision`.
+    pub fn note_complete(&mut self, kind: Kind, revision: u64) {
+        let at = &mut self.digest[number(kind)];
+        *at = (*at).max(revision);
+    }
+
+    /// Returns the revisions up to which everything is known.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
+    /// Returns what an instance with `digest` lacks.
+    #[must_use]
+    pub fn newer_than(&self, digest: &Digest) -> Vec<Entry> {
+        let lacks = |e: &&Entry| e.revision > digest[number(e.kind)];
+        self.entries.values().filter(lacks).cloned().collect()
+    }
+
+    /// Takes over what another instance, complete up to `digest`, sent in answer to this
+    /// instance's own digest.
+    pub fn merge_from_peer(&mut self, now: Millis, digest: &Digest, entries: Vec<Entry>) -> bool {
+        let changed = self.merge(now, entries);
+        for kind in KINDS {
+            self.note_complete(kind, digest[number(kind)]);
+        }
+        changed
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn catalog(&self) -> Option<&Arc<Catalog>> {
+        self.catalog.as_ref()
+    }
+
+    /// Returns the upstreams that may be used at `now`, those that are leaving included.
+    pub fn members(&self, now: Millis) -> impl Iterator<Item = &Arc<Member>> {
+        let listed = self.entries.values().filter_map(|e| match &e.value {
+            Some(Value::Member(m)) => Some(m),
+            _ => None,
+        });
+        let lapsed = self.lapsed.values().filter(move |(_, until)| now < *until).map(|(m, _)| m);
+        listed.chain(lapsed)
+    }
+
+    /// Returns the owners of a service's keys and the revision of the row.
+    #[must_use]
+    pub fn owners(&self, service: &str) -> Option<(&Arc<KeyMap>, u64)> {
+        let entry = self.entries.get(&(Kind::Owners, service.into()))?;
+        match &entry.value {
+            Some(Value::Owners(map)) => Some((map, entry.revision)),
+            _ => None,
+        }
+    }
+
+    /// Returns the known entry instances by name.
+    pub fn instances(&self) -> impl Iterator<Item = (&Arc<str>, &Peer)> {
+        self.entries.values().filter_map(|e| match &e.value {
+            Some(Value::Instance(peer)) => Some((&e.key, peer)),
+            _ => None,
+        })
+    }
+
+    /// Returns the name of the instance that decides about a service's keys.
+    #[must_use]
+    pub fn steward(&self, service: &str) -> Option<&Arc<str>> {
+        match &self.entries.get(&(Kind::Steward, service.into()))?.value {
+            Some(Value::Steward(name)) => Some(name),
+            _ => None,
+        }
+    }
+
+    /// Returns an entry instance by name.
+    #[must_use]
+    pub fn instance(&self, name: &Arc<str>) -> Option<&Peer> {
+        match &self.entries.get(&(Kind::Instance, name.clone()))?.value {
+            Some(Value::Instance(peer)) => Some(peer),
+            _ => None,
+        }
+    }
+
+    /// Forgets upstreams whose grace has passed; returns whether there were any.
+    pub fn expire(&mut self, now: Millis) -> bool {
+        let before = self.lapsed.len();
+        self.lapsed.retain(|_, (_, until)| now < *until);
+        self.lapsed.len() < before
+    }
+}
