--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -26,6 +26,9 @@
 const FAR_ROUNDS: u64 = 4;
 /// Instances of the same data centre that are told in turn.
 const NEAR_PARTNERS: usize = 3;
+/// Time in milliseconds after which an instance that has not said that it follows the store is not
+/// relied on: three digests.
+const LEADER_MS: Millis = 1_000;
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 const SEND_LIMIT: Duration = Duration::from_millis(600);
 /// Time after which a link that carries nothing is closed.
@@ -42,6 +45,8 @@
     Hello { name: Arc<str> },
     /// Up to which revisions the sender knows everything.
     Digest(Digest),
+    /// Answer to a digest: whether the sender follows the store and the store answers it.
+    Following { name: Arc<str>, healthy: bool },
     /// What the receiver lacks, from a sender that is complete up to `digest`.
     News { digest: Digest, entries: Vec<Entry> },
     /// Load of a keyed service, for the instance that decides about it.
@@ -54,6 +59,36 @@
 #[derive(Debug, Default)]
 pub(crate) struct Links {
     open: RefCell<HashMap<Arc<str>, mpsc::Sender<Message>>>,
+    /// When each instance last said that it follows the store.
+    followers: RefCell<HashMap<Arc<str>, Millis>>,
+}
+
+/// Returns the instance of the same data centre that follows the store for this one, if any: the
+/// first by name that said so lately, unless this one comes first.
+pub(crate) fn leader(node: &Node) -> Option<Arc<str>> {
+    let now = boot_millis();
+    let followers = node.links.followers.borrow();
+    let live = |at: &Millis| now < at + LEADER_MS;
+    let names = followers.iter().filter(|(_, at)| live(at)).map(|(name, _)| name);
+    names.filter(|name| **name < node.cfg.name).min().cloned()
+}
+
+/// Sends news at once to the instances of the same data centre that rely on this one.
+pub(crate) fn spread(node: &Rc<Node>, before: &Digest) {
+    let views = node.views.borrow();
+    let entries = views.newer_than(before);
+    if entries.is_empty() {
+        return;
+    }
+    let digest = views.digest();
+    let near = |p: &Peer| p.data_center == node.cfg.data_center;
+    let open = node.links.open.borrow();
+    let relying = views.instances().filter(|(n, p)| near(p) && **n > node.cfg.name);
+    for (name, tx) in relying.filter_map(|(n, _)| open.get_key_value(n)) {
+        if tx.try_send(Message::News { digest, entries: entries.clone() }).is_err() {
+            log::debug!(peer = &**name; "link is busy, news wait for the next digest");
+        }
+    }
 }
 
 /// Binds the address for instances and starts telling others.
@@ -83,7 +118,12 @@
     for round in 0u64.. {
         tick.tick().await;
         let digest = node.views.borrow().digest();
-        if let Some(name) = partner(&node, round, true) {
+        let leader = leader(&node);
+        if let Some(name) = &leader {
+            send(&node, name, Message::Digest(digest));
+        }
+        let other = partner(&node, round, true);
+        if let Some(name) = other.filter(|n| leader.is_none() || round % FAR_ROUNDS == 1 && Some(n) != leader.as_ref()) {
             send(&node, &name, Message::Digest(digest));
         } else if node.catalog().is_none() {
             ask_seed(&node, round);
@@ -263,13 +303,26 @@
             let news = (!entries.is_empty()).then_some(Message::News { digest, entries });
             // Revisions without changes in them are no reason to ask.
             let ask = behind.then_some(Message::Digest(digest));
-            news.into_iter().chain(ask).collect()
+            let (name, healthy) = (node.cfg.name.clone(), node.follows_store());
+            let following = Message::Following { name, healthy };
+            news.into_iter().chain(ask).chain([following]).collect()
+        }
+        Message::Following { name, healthy } => {
+            let near = |p: &Peer| p.data_center == node.cfg.data_center;
+            if !node.views.borrow().instance(&name).is_some_and(near) {
+                return Vec::new();
+            }
+            let mut followers = node.links.followers.borrow_mut();
+            if healthy {
+                followers.insert(name, boot_millis());
+            } else {
+                followers.remove(&name);
+            }
+            Vec::new()
         }
         Message::News { digest, entries } => {
-            let (count, now) = (entries.len(), boot_millis());
-            let since: Millis = now;
+            log::debug!(entries = entries.len(); "news from another instance");
             node.update(|views, now| views.merge_from_peer(now, &digest, entries));
-            log::debug!(entries = count, at = since; "news from another instance");
             Vec::new()
         }
         Message::Heat { service, report } => {
--- a/src/node.rs
+++ b/src/node.rs
@@ -13,7 +13,7 @@
     pool::{Options, Pool},
     ports::{Change, Changed, Ports, RowName},
     stewardship,
-    views::{Peer, Views},
+    views::{Kind, Peer, Views},
 };
 use std::{
     cell::{Cell, RefCell},
@@ -31,6 +31,9 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 /// Time after which an upstream that acknowledges no bytes is given up.
 const SILENCE_LIMIT: Duration = Duration::from_millis(800);
+/// Time in milliseconds after which a table whose call has not returned counts as not followed: the
+/// time for which the store holds a call, and one call.
+const FOLLOWED_MS: Millis = 2_700;
 /// Time until the row by which others find this instance is written again after a failure.
 const REGISTER_RETRY: Duration = Duration::from_millis(700);
 /// Connections to one upstream: twice the largest window of an upstream with six slots.
@@ -143,6 +146,7 @@
     pub(crate) pool: Pool,
     pub(crate) links: gossip::Links,
     pub(crate) duties: RefCell<HashMap<Arc<str>, stewardship::Duty>>,
+    followed: RefCell<HashMap<&'static str, Millis>>,
     pub(crate) ready: Cell<bool>,
     pub(crate) stopping: Cell<Option<Millis>>,
     stopping_token: CancellationToken,
@@ -170,6 +174,7 @@
             pool: Pool::with_options(CONNECTIONS, options),
             links: gossip::Links::default(),
             duties: RefCell::default(),
+            followed: RefCell::default(),
             ready: Cell::new(false),
             stopping: Cell::new(None),
             stopping_token: CancellationToken::new(),
@@ -225,12 +230,41 @@
 
     /// Changes what is known, and acts on it.
     pub fn update(self: &Rc<Self>, change: impl FnOnce(&mut Views, Millis) -> bool) {
+        let before = self.views.borrow().digest();
         let changed = change(&mut self.views.borrow_mut(), boot_millis());
         if changed {
             self.refresh();
+            gossip::spread(self, &before);
         }
     }
 
+    /// Returns whether this instance should follow the store itself, and not rely on another one.
+    #[must_use]
+    pub fn should_follow(&self) -> bool {
+        gossip::leader(self).is_none()
+    }
+
+    /// Returns the revision up to which everything of these kinds is known.
+    #[must_use]
+    pub fn known_up_to(&self, kinds: &[Kind]) -> u64 {
+        let digest = self.views.borrow().digest();
+        kinds.iter().map(|k| digest[*k as usize]).min().unwrap_or(0)
+    }
+
+    /// Notes when a table of the store answered last, or that it is not followed.
+    pub fn note_followed(&self, table: &'static str, at: Option<Millis>) {
+        self.followed.borrow_mut().insert(table, at.unwrap_or(0));
+    }
+
+    /// Returns whether this instance follows the store and the store answers it.
+    pub(crate) fn follows_store(&self) -> bool {
+        let now = boot_millis();
+        let followed = self.followed.borrow();
+        !followed.is_empty()
+            && self.stopping.get().is_none()
+            && followed.values().all(|at| now < at + FOLLOWED_MS)
+    }
+
     /// Notes that the store did not answer.
     pub fn on_store_trouble(&self) {
         self.views.borrow_mut().on_store_trouble(boot_millis());
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -142,7 +142,8 @@
         let inherited_until = bound(now, times.outage_hold);
         let holds = Vec::new();
         let moves = Vec::new();
-        let inherited_fence = revision + 1;
+        // Fences come from the revision before their commit.
+        let inherited_fence = revision;
         let next_order = 1;
         Self {
             times,
--- a/src/stewardship.rs
+++ b/src/stewardship.rs
@@ -34,6 +34,9 @@
 const RETRY_MS: Millis = 120;
 /// Time in milliseconds between plans.
 const PLAN_MS: Millis = 250;
+/// Time in milliseconds without another upstream after which keys are dealt out at first: upstreams
+/// register within about a second.
+const SETTLE_MS: Millis = 700;
 /// How long a grant lasts while the store answers: a takeover and two renewals fit in.
 const HOLD_MS: Millis = 4_500;
 const RENEW_MS: Millis = 1_200;
@@ -86,6 +89,8 @@
     renewed: Millis,
     reported: Millis,
     planned: Millis,
+    /// Number of upstreams, and since when.
+    settled: (usize, Millis),
     resigned: bool,
 }
 
@@ -120,6 +125,7 @@
         renewed: 0,
         reported: 0,
         planned: 0,
+        settled: (0, now),
         resigned: false,
     };
     tokio::task::spawn_local(run.run(rx));
@@ -479,11 +485,16 @@
             let owner = Owner { id: m.id.clone(), started: m.started };
             self.addresses.insert(owner, m.address);
         }
+        if members.len() != self.settled.0 {
+            self.settled = (members.len(), now);
+        }
         let Some(s) = &mut self.steward else {
             return;
         };
+        // Keys are dealt out once, so that those that come a little later get their share too.
+        let settling = s.map().spans.is_empty() && now < self.settled.1 + SETTLE_MS;
         s.on_ended(|o| members.iter().any(|m| m.id == o.id && m.started > o.started));
-        if now >= self.planned + PLAN_MS && self.unsettled.is_none() {
+        if now >= self.planned + PLAN_MS && self.unsettled.is_none() && !settling {
             self.planned = now;
             self.heat.decay(now);
             for change in rebalance::plan(&s.planned(), &s.moving(), &members, &self.heat) {
