Answers leave at once and survive the close of their connection

The listener's pipeline_flush kept an answer in its buffer while another pipelined request had been read, and a graceful close then dropped it. Closing with unread bytes also resets the connection.

--- a/src/front.rs
+++ b/src/front.rs
@@ -9,8 +9,14 @@
 };
 use hyper::{Request, Response, StatusCode, body::Incoming, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
-use tokio::net::{TcpListener, TcpStream};
+use std::{
+    cell::Cell, convert::Infallible, future::poll_fn, net::SocketAddr, pin::Pin, rc::Rc,
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
 
 /// Time in milliseconds from falling readiness to closing kept connections: the balancer asks once
 /// a second and takes an instance out after two misses.
@@ -21,6 +27,8 @@
 const DEFAULT_IDLE: Duration = Duration::from_secs(20);
 /// Bytes of a request's head that are read at most.
 const HEAD_BYTES: usize = 64 * 1024;
+/// Time for a caller to take the last answer and close.
+const LINGER: Duration = Duration::from_millis(800);
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 
 thread_local! {
@@ -65,27 +73,44 @@
     OPEN.set(OPEN.get() + 1);
     let idle = node.catalog().map_or(DEFAULT_IDLE, |c| Duration::from_millis(c.limits.idle_ms));
     let handler = node.clone();
-    let service = service_fn(move |req: Request<Incoming>| entry::handle(handler.clone(), req));
-    let conn = hyper::server::conn::http1::Builder::new()
+    let service =
+        service_fn(move |req: Request<Incoming>| Box::pin(entry::handle(handler.clone(), req)));
+    let mut conn = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
-        .pipeline_flush(true)
         .max_buf_size(HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(conn);
     let ended = tokio::select! {
-        ended = conn.as_mut() => Some(ended),
+        ended = poll_fn(|cx| conn.poll_without_shutdown(cx)) => Some(ended),
         () = notice_over(&node) => None,
     };
-    if ended.is_none() {
-        conn.as_mut().graceful_shutdown();
-        if let Err(e) = conn.await {
-            log::debug!("connection from a caller: {e}");
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            Pin::new(&mut conn).graceful_shutdown();
+            poll_fn(|cx| conn.poll_without_shutdown(cx)).await
         }
+    };
+    match ended {
+        Ok(()) => linger(conn.into_parts().io.into_inner()).await,
+        Err(e) => log::debug!("connection from a caller: {e}"),
     }
     OPEN.set(OPEN.get() - 1);
 }
 
+/// Closes a connection so that the last answer arrives: closing with unread bytes would reset it.
+async fn linger(mut stream: TcpStream) {
+    let mut rest = [0; 1024];
+    let drain = async {
+        stream.shutdown().await?;
+        while stream.read(&mut rest).await? > 0 {}
+        std::io::Result::Ok(())
+    };
+    if let Ok(Err(e)) = tokio::time::timeout(LINGER, drain).await {
+        log::debug!("close a connection from a caller: {e}");
+    }
+}
+
 /// Waits until the balancer has had time to notice that the instance stops.
 async fn notice_over(node: &Rc<Node>) {
     loop {
