--- a/src/rebalance.rs
+++ b/src/rebalance.rs
@@ -5,7 +5,7 @@
     catalog::Member,
     collections::HashMap,
     heat::Heat,
-    keymap::{KeyMap, Owner, Range},
+    keymap::{Key, KeyMap, Owner, Range},
     steward::Reassignment,
 };
 use std::sync::Arc;
@@ -19,6 +19,12 @@
 const BUSY: f64 = 0.45;
 /// Utilization that a move must take off its giver at least, beyond what its taker gets.
 const MIN_GAIN: f64 = 0.08;
+/// Requests per second below which nothing is moved for balance.
+const MIN_RATE: f64 = 1.0;
+/// Share of the fastest upstream's capacity from which a key is heavy: it cannot be split.
+const HEAVY: f64 = 0.5;
+/// Factor by which another upstream must be faster for a heavy key to move there.
+const PROMOTION: f64 = 1.25;
 /// Moves for balance that may be under way at once.
 const MAX_MOVES: usize = 8;
 /// Ranges for each upstream beyond which nothing is split for balance: each costs a renewal.
@@ -74,6 +80,9 @@
     if changes.is_empty() {
         fill_newcomers(planned, moving, &mut candidates, heat, &mut changes);
     }
+    if changes.is_empty() {
+        promote(planned, moving, &mut candidates, heat, &mut changes);
+    }
     if changes.is_empty() && planned.spans.len() < MAX_RANGES * candidates.len() {
         balance(planned, moving, &mut candidates, heat, &mut changes);
     }
@@ -111,7 +120,7 @@
 /// Deals all keys out in stripes, by capacity.
 fn deal_out(candidates: &[Candidate]) -> Vec<Reassignment> {
     let total: f64 = candidates.iter().map(|c| c.capacity).sum::<f64>() * f64::from(STRIPES);
-    let last = f64::from(crate::keymap::Key::MAX);
+    let last = f64::from(Key::MAX);
     let mut changes = Vec::new();
     let mut sum = 0.0;
     let mut from = 0u32;
@@ -258,9 +267,8 @@
     }
 }
 
-/// Returns the narrowest range of an owner with about `amount` requests per second, and its rate.
-///
-/// A range with more than that is taken only if it is a single key that alone exceeds it.
+/// Returns the range of an owner that takes about `amount` requests per second off it with the
+/// fewest keys, and its rate; less than that where there is no such range.
 fn narrowest(
     planned: &KeyMap,
     owner: &Owner,
@@ -268,33 +276,84 @@
     heat: &Heat,
     amount: f64,
 ) -> Option<(Range, f64)> {
+    let most = 1.2 * amount;
     let mut best: Option<(Range, f64)> = None;
     let spans = planned.spans.iter().filter(|s| s.owner == *owner);
     for span in spans.filter(|s| !taken.iter().any(|t| t.overlaps(&s.range))) {
-        let rates = heat.rates();
-        let mut from = span.range.from;
-        let mut sum = 0.0;
-        for to in span.range.from..=span.range.to {
-            sum += f64::from(rates[usize::from(to)]);
-            while sum > 1.2 * amount && from < to {
-                sum -= f64::from(rates[usize::from(from)]);
-                from += 1;
-            }
-            if sum < 0.5 * amount || sum > 1.2 * amount {
-                continue;
-            }
-            // Keys without load at the start only make the range wider.
-            while from < to && rates[usize::from(from)] < 1e-3 {
-                from += 1;
-            }
-            let range = Range::new(from, to);
-            let better = |b: &(Range, f64)| {
-                sum / f64::from(range.len()).sqrt() > b.1 / f64::from(b.0.len()).sqrt()
+        for (range, sum) in windows(span.range, heat, most) {
+            // Half of the amount is enough; below that, more load goes before fewer keys.
+            let worth = |sum: f64, range: &Range| {
+                let keys = f64::from(range.len()).sqrt();
+                if sum >= 0.5 * amount { (true, sum / keys) } else { (false, sum) }
             };
-            if best.as_ref().is_none_or(better) {
+            if best.as_ref().is_none_or(|b| worth(sum, &range) > worth(b.1, &b.0)) {
                 best = Some((range, sum));
             }
         }
     }
-    best
+    best.filter(|(_, sum)| *sum >= MIN_RATE)
+}
+
+/// Returns, for each key with load, the widest range that ends there with at most `most` requests
+/// per second.
+fn windows(range: Range, heat: &Heat, most: f64) -> Vec<(Range, f64)> {
+    let rates = heat.rates();
+    let mut found = Vec::new();
+    let mut from = range.from;
+    let mut sum = 0.0;
+    for to in range.from..=range.to {
+        let rate = f64::from(rates[usize::from(to)]);
+        if rate < 1e-3 {
+            continue;
+        }
+        sum += rate;
+        while from < to && (sum > most || rates[usize::from(from)] < 1e-3) {
+            sum -= f64::from(rates[usize::from(from)]);
+            from += 1;
+        }
+        if sum <= most {
+            found.push((Range::new(from, to), sum));
+        }
+    }
+    found
+}
+
+/// Moves keys that alone take much of an upstream to the fastest ones.
+fn promote(
+    planned: &KeyMap,
+    moving: &[Range],
+    candidates: &mut [Candidate],
+    heat: &Heat,
+    changes: &mut Vec<Reassignment>,
+) {
+    let fastest = candidates.iter().map(|c| c.capacity).fold(0.0, f64::max);
+    let mut reserved: Vec<Owner> = Vec::new();
+    for (key, rate) in heavy_keys(heat, HEAVY * fastest) {
+        let Some(owner) = planned.find(key).map(|s| s.owner.clone()) else {
+            continue;
+        };
+        let range = Range::new(key, key);
+        let own = candidates.iter().find(|c| c.owner == owner).map_or(0.0, |c| c.capacity);
+        let moves = moving.iter().any(|m| m.overlaps(&range));
+        if moves || own * PROMOTION >= fastest || reserved.contains(&owner) {
+            reserved.push(owner);
+            continue;
+        }
+        let free = candidates.iter_mut().filter(|c| !reserved.contains(&c.owner));
+        let best = free.max_by(|a, b| (a.capacity - a.rate).total_cmp(&(b.capacity - b.rate)));
+        if let Some(c) = best.filter(|c| c.capacity > own * PROMOTION) {
+            c.rate += rate;
+            reserved.push(c.owner.clone());
+            changes.push(Reassignment { range, to: c.owner.clone() });
+        }
+    }
+}
+
+/// Returns the keys with at least `rate` requests per second, busiest first.
+fn heavy_keys(heat: &Heat, rate: f64) -> Vec<(Key, f64)> {
+    let keys = heat.rates().iter().zip(0..=Key::MAX);
+    let heavy = keys.map(|(r, key)| (key, f64::from(*r))).filter(|(_, r)| *r >= rate);
+    let mut found: Vec<(Key, f64)> = heavy.collect();
+    found.sort_by(|a, b| b.1.total_cmp(&a.1));
+    found
 }
--- /dev/null
+++ b/tests/rebalance.rs
@@ -0,0 +1,155 @@
+//! Which upstream gets which keys, replayed over patterns of load.
+
+use mulberryspur::{
+    catalog::Member,
+    heat::{Heat, HeatReport},
+    keymap::{KeyMap, Owner, Range, Span},
+    rebalance::plan,
+};
+use std::sync::Arc;
+
+/// Requests per second that one upstream of these tests can carry: six slots, 120 ms.
+const CAPACITY: f64 = 50.0;
+
+fn members(n: usize) -> Vec<Arc<Member>> {
+    (0..n)
+        .map(|i| {
+            Arc::new(Member {
+                id: format!("u{i:02}").into(),
+                started: 1,
+                service: "foldbook".into(),
+                address: ([127, 0, 0, 1], 1).into(),
+                data_center: "a".into(),
+                slots: 6,
+                leaving: false,
+                warmup_ms: 0,
+            })
+        })
+        .collect()
+}
+
+fn apply(map: &mut KeyMap, members: &[Arc<Member>], heat: &Heat) -> usize {
+    let changes = plan(map, &[], members, heat);
+    for c in &changes {
+        let (range, owner) = (c.range, c.to.clone());
+        map.assign(Span { range, owner, fence: 1, handover: None });
+    }
+    changes.len()
+}
+
+/// Heat with `total` requests per second spread over `keys` by Zipf's law, and `base` over all.
+fn heat(base: f64, total: f64, from: u16, keys: u16) -> Heat {
+    let weights: Vec<f64> = (1..=keys).map(|i| f64::from(i).powf(-0.65)).collect();
+    let sum: f64 = weights.iter().sum();
+    let mut heat = Heat::new(0);
+    // Rates are averaged over two seconds, so two seconds of counts show them.
+    let mut requests: Vec<(u16, u32)> = (0..2_000)
+        .map(|i| (u16::try_from(i * 32).unwrap(), (base / 1_000.0).round() as u32))
+        .collect();
+    // Neighbours in rank are scattered over the range.
+    for (rank, w) in weights.iter().enumerate() {
+        let at = from + u16::try_from(rank * 37 % usize::from(keys)).unwrap();
+        requests.push((at, (2.0 * total * w / sum).round() as u32));
+    }
+    heat.add(&HeatReport { service: "foldbook".into(), requests, times: Vec::new() });
+    heat
+}
+
+fn utilization(map: &KeyMap, heat: &Heat, members: &[Arc<Member>]) -> f64 {
+    let rate = |id: &str| -> f64 {
+        map.spans.iter().filter(|s| &*s.owner.id == id).map(|s| heat.rate(&s.range)).sum()
+    };
+    members.iter().map(|m| rate(&m.id) / CAPACITY).fold(0.0, f64::max)
+}
+
+/// All keys at first; then hot keys; returns the highest utilization before and after `rounds`.
+fn spread_out(n: usize, base: f64, hot: f64, keys: u16, rounds: usize) -> (f64, f64) {
+    let members = members(n);
+    let mut map = KeyMap::default();
+    apply(&mut map, &members, &Heat::new(0));
+    assert!(map.gaps().is_empty(), "every key gets an owner");
+    let heat = heat(base, hot, 30_000, keys);
+    let before = utilization(&map, &heat, &members);
+    for _ in 0..rounds {
+        apply(&mut map, &members, &heat);
+        assert!(map.gaps().is_empty(), "no key loses its owner");
+    }
+    (before, utilization(&map, &heat, &members))
+}
+
+macro_rules! hot_keys {
+    ($($name:ident: $n:expr, $base:expr, $hot:expr, $keys:expr, below $limit:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let (before, after) = spread_out($n, $base, $hot, $keys, 10);
+            assert!(before > 2.0, "the pattern overloads an owner: {before:.2}");
+            assert!(after < $limit, "busiest owner at {after:.2} of its capacity, was {before:.2}");
+        }
+    )*};
+}
+
+hot_keys! {
+    sixty_hot_keys_take_a_third_of_the_load: 22, 250.0, 150.0, 60, below 0.9;
+    two_hundred_hot_keys_take_half_of_the_load: 22, 300.0, 270.0, 200, below 0.9;
+    sixty_hot_keys_at_a_crest: 22, 400.0, 300.0, 60, below 1.05;
+}
+
+/// One key takes more than any upstream can carry: it goes to a fast one, which keeps little else.
+#[test]
+fn one_hot_key_gets_the_fastest_upstream_to_itself() {
+    let all = members(12);
+    let mut map = KeyMap::default();
+    apply(&mut map, &all, &Heat::new(0));
+    let mut heat = heat(200.0, 150.0, 30_000, 1);
+    let times = all.iter().enumerate();
+    let times = times.map(|(n, m)| (m.id.clone(), 100, if n % 3 == 2 { 7_500.0 } else { 17_000.0 }));
+    let times = times.collect();
+    heat.add(&HeatReport { service: "foldbook".into(), requests: Vec::new(), times });
+    for _ in 0..10 {
+        apply(&mut map, &all, &heat);
+    }
+    let owner = map.find(30_000).unwrap().owner.clone();
+    let number: usize = owner.id[1..].parse().unwrap();
+    assert_eq!(number % 3, 2, "{} is not fast", owner.id);
+    let own = map.spans.iter().filter(|s| s.owner == owner);
+    let rest: f64 = own.map(|s| heat.rate(&s.range)).sum::<f64>() - heat.rate(&Range::new(30_000, 30_000));
+    assert!(rest < 8.0, "{rest:.1} other requests per second");
+}
+
+#[test]
+fn lost_owner_keys_go_to_those_with_room() {
+    let all = members(4);
+    let mut map = KeyMap::default();
+    apply(&mut map, &all, &Heat::new(0));
+    let left = &all[1..];
+    apply(&mut map, left, &Heat::new(0));
+    let stays = |s: &Span| s.owner != Owner { id: "u00".into(), started: 1 };
+    assert!(map.spans.iter().all(stays));
+    for m in left {
+        let own = map.spans.iter().filter(|s| s.owner.id == m.id);
+        let keys: u32 = own.map(|s| s.range.len()).sum();
+        assert!((14_000..=30_000).contains(&keys), "{} owns {keys}", m.id);
+    }
+}
+
+#[test]
+fn newcomer_gets_keys() {
+    let all = members(5);
+    let mut map = KeyMap::default();
+    apply(&mut map, &all[..4], &Heat::new(0));
+    apply(&mut map, &all, &Heat::new(0));
+    let own = map.spans.iter().filter(|s| s.owner.id == all[4].id);
+    let keys: u32 = own.map(|s| s.range.len()).sum();
+    assert!(keys > 4_000, "newcomer owns {keys}");
+}
+
+#[test]
+fn idle_service_moves_nothing() {
+    let all = members(6);
+    let mut map = KeyMap::default();
+    apply(&mut map, &all, &Heat::new(0));
+    let calm = heat(60.0, 1.0, 100, 10);
+    assert_eq!(apply(&mut map, &all, &calm), 0);
+    assert_eq!(map.find(0).map(|s| s.range.from), Some(0));
+    assert_eq!(Range::new(0, 9).len(), 10);
+}
