Fewer store calls where there are many instances; moves and ranges by size

Now the first by name in a data centre follows the store, others are referred to it, calls of one table are spaced. One instance with half of a strong one's processor takes a lease later.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -24,8 +24,6 @@
 const NEAR_INTERVAL: Duration = Duration::from_millis(300);
 /// Rounds of the same data centre for each round to another one: bytes between them are dear.
 const FAR_ROUNDS: u64 = 4;
-/// Instances of the same data centre that are told in turn.
-const NEAR_PARTNERS: usize = 3;
 /// Time in milliseconds after which an instance that has not said that it follows the store is not
 /// relied on: three digests.
 const LEADER_MS: Millis = 1_000;
@@ -45,8 +43,9 @@
     Hello { name: Arc<str> },
     /// Up to which revisions the sender knows everything.
     Digest(Digest),
-    /// Answer to a digest: whether the sender follows the store and the store answers it.
-    Following { name: Arc<str>, healthy: bool },
+    /// Answer to a digest: whether the sender follows the store and the store answers it, else which
+    /// instance it relies on.
+    Following { name: Arc<str>, healthy: bool, leader: Option<Arc<str>> },
     /// What the receiver lacks, from a sender that is complete up to `digest`.
     News { digest: Digest, entries: Vec<Entry> },
     /// Load of a keyed service, for the instance that decides about it.
@@ -61,6 +60,8 @@
     open: RefCell<HashMap<Arc<str>, mpsc::Sender<Message>>>,
     /// When each instance last said that it follows the store.
     followers: RefCell<HashMap<Arc<str>, Millis>>,
+    /// Instance that another one relies on, to be asked next.
+    hint: RefCell<Option<Arc<str>>>,
 }
 
 /// Returns the instance of the same data centre that follows the store for this one, if any: the
@@ -73,6 +74,13 @@
     names.filter(|name| **name < node.cfg.name).min().cloned()
 }
 
+/// Returns whether an instance of the same data centre comes before this one by name.
+pub(crate) fn comes_after_others(node: &Node) -> bool {
+    let views = node.views.borrow();
+    let near = |p: &Peer| p.data_center == node.cfg.data_center;
+    views.instances().any(|(name, p)| near(p) && *name < node.cfg.name)
+}
+
 /// Sends news at once to the instances of the same data centre that rely on this one.
 pub(crate) fn spread(node: &Rc<Node>, before: &Digest) {
     let views = node.views.borrow();
@@ -118,15 +126,14 @@
     for round in 0u64.. {
         tick.tick().await;
         let digest = node.views.borrow().digest();
-        let leader = leader(&node);
-        if let Some(name) = &leader {
-            send(&node, name, Message::Digest(digest));
-        }
-        let other = partner(&node, round, true);
-        if let Some(name) = other.filter(|n| leader.is_none() || round % FAR_ROUNDS == 1 && Some(n) != leader.as_ref()) {
-            send(&node, &name, Message::Digest(digest));
-        } else if node.catalog().is_none() {
-            ask_seed(&node, round);
+        match leader(&node).or_else(|| node.links.hint.take()) {
+            Some(name) => send(&node, &name, Message::Digest(digest)),
+            // The first by name leads, so those before this instance are asked in turn.
+            None => match partner(&node, round, true) {
+                Some(name) => send(&node, &name, Message::Digest(digest)),
+                None if node.catalog().is_none() => ask_seed(&node, round),
+                None => {}
+            },
         }
         if round % FAR_ROUNDS == 0
             && let Some(name) = partner(&node, round / FAR_ROUNDS, false)
@@ -136,7 +143,8 @@
     }
 }
 
-/// Returns the instance to tell in a round: one of the next few by name.
+/// Returns the instance to tell in a round: in the same data centre one that comes before this one
+/// by name, else any.
 fn partner(node: &Node, round: u64, near: bool) -> Option<Arc<str>> {
     let views = node.views.borrow();
     let same = |p: &Peer| p.data_center == node.cfg.data_center;
@@ -146,10 +154,14 @@
         .map(|(name, _)| name.clone())
         .collect();
     names.sort();
-    let first = names.partition_point(|n| *n < node.cfg.name);
-    let among = names.len().min(if near { NEAR_PARTNERS } else { usize::MAX });
-    let step = usize::try_from(round).unwrap_or(0).checked_rem(among)?;
-    names.get((first + step) % names.len()).cloned()
+    let before = names.partition_point(|n| *n < node.cfg.name);
+    if near && before > 0 {
+        names.truncate(before);
+    }
+    let n = usize::try_from(round).unwrap_or(0).checked_rem(names.len())?;
+    // Instances of other data centres begin at different places, so that no one is asked by all.
+    let offset = if near { 0 } else { before };
+    names.get((n + offset) % names.len()).cloned()
 }
 
 /// Asks an instance named in the settings, as long as nothing is known.
@@ -304,10 +316,11 @@
             // Revisions without changes in them are no reason to ask.
             let ask = behind.then_some(Message::Digest(digest));
             let (name, healthy) = (node.cfg.name.clone(), node.follows_store());
-            let following = Message::Following { name, healthy };
+            let leader = leader(node);
+            let following = Message::Following { name, healthy, leader };
             news.into_iter().chain(ask).chain([following]).collect()
         }
-        Message::Following { name, healthy } => {
+        Message::Following { name, healthy, leader } => {
             let near = |p: &Peer| p.data_center == node.cfg.data_center;
             if !node.views.borrow().instance(&name).is_some_and(near) {
                 return Vec::new();
@@ -317,6 +330,7 @@
                 followers.insert(name, boot_millis());
             } else {
                 followers.remove(&name);
+                node.links.hint.replace(leader.filter(|l| *l < node.cfg.name));
             }
             Vec::new()
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -34,6 +34,9 @@
 /// Time in milliseconds after which a table whose call has not returned counts as not followed: the
 /// time for which the store holds a call, and one call.
 const FOLLOWED_MS: Millis = 2_700;
+/// Time in milliseconds after its start in which an instance waits for another one to follow the
+/// store: a few rounds of digests.
+const LEADER_WAIT_MS: Millis = 1_500;
 /// Time until the row by which others find this instance is written again after a failure.
 const REGISTER_RETRY: Duration = Duration::from_millis(700);
 /// Connections to one upstream: twice the largest window of an upstream with six slots.
@@ -46,6 +49,8 @@
     pub name: Arc<str>,
     /// Data centre that it runs in.
     pub data_center: Arc<str>,
+    /// Share of a core that the instance has.
+    pub processor: f64,
     /// Address for callers.
     pub front: SocketAddr,
     /// Address where the balancer asks whether the instance is ready.
@@ -147,6 +152,8 @@
     pub(crate) links: gossip::Links,
     pub(crate) duties: RefCell<HashMap<Arc<str>, stewardship::Duty>>,
     followed: RefCell<HashMap<&'static str, Millis>>,
+    /// When the process started.
+    began: Millis,
     pub(crate) ready: Cell<bool>,
     pub(crate) stopping: Cell<Option<Millis>>,
     stopping_token: CancellationToken,
@@ -175,6 +182,7 @@
             links: gossip::Links::default(),
             duties: RefCell::default(),
             followed: RefCell::default(),
+            began: boot_millis(),
             ready: Cell::new(false),
             stopping: Cell::new(None),
             stopping_token: CancellationToken::new(),
@@ -241,7 +249,8 @@
     /// Returns whether this instance should follow the store itself, and not rely on another one.
     #[must_use]
     pub fn should_follow(&self) -> bool {
-        gossip::leader(self).is_none()
+        let starting = boot_millis() < self.began + LEADER_WAIT_MS;
+        gossip::leader(self).is_none() && !(starting && gossip::comes_after_others(self))
     }
 
     /// Returns the revision up to which everything of these kinds is known.
--- a/src/rebalance.rs
+++ b/src/rebalance.rs
@@ -11,8 +11,11 @@
 use std::sync::Arc;
 
 /// Ranges that an upstream gets of keys that had no owner: busy keys lie close to one another, so
-/// a share in several places evens the load out.
+/// a share in several places evens the load out. Each range costs a renewal, so many upstreams get
+/// one each.
 const STRIPES: u32 = 4;
+/// Ranges of all upstreams together that are dealt out at first, unless there are more upstreams.
+const DEALT_RANGES: u32 = 96;
 /// Utilization above the average from which an upstream gives keys away.
 const EXCESS: f64 = 0.15;
 /// Utilization below which nothing is moved for balance.
@@ -25,8 +28,9 @@
 const HEAVY: f64 = 0.5;
 /// Factor by which another upstream must be faster for a heavy key to move there.
 const PROMOTION: f64 = 1.25;
-/// Moves for balance that may be under way at once.
+/// Moves for balance that may be under way at once, and upstreams for each further one.
 const MAX_MOVES: usize = 8;
+const UPSTREAMS_PER_MOVE: usize = 4;
 /// Ranges for each upstream beyond which nothing is split for balance: each costs a renewal.
 const MAX_RANGES: usize = 10;
 /// Time in milliseconds that a request takes at an upstream of which nothing is known.
@@ -119,12 +123,14 @@
 
 /// Deals all keys out in stripes, by capacity.
 fn deal_out(candidates: &[Candidate]) -> Vec<Reassignment> {
-    let total: f64 = candidates.iter().map(|c| c.capacity).sum::<f64>() * f64::from(STRIPES);
+    let stripes = DEALT_RANGES / u32::try_from(candidates.len()).unwrap_or(1).max(1);
+    let stripes = stripes.clamp(1, STRIPES);
+    let total: f64 = candidates.iter().map(|c| c.capacity).sum::<f64>() * f64::from(stripes);
     let last = f64::from(Key::MAX);
     let mut changes = Vec::new();
     let mut sum = 0.0;
     let mut from = 0u32;
-    for _ in 0..STRIPES {
+    for _ in 0..stripes {
         for c in candidates {
             sum += c.capacity;
             #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a key")]
@@ -228,7 +234,8 @@
 ) {
     let capacity: f64 = candidates.iter().map(|c| c.capacity).sum();
     let average = candidates.iter().map(|c| c.rate).sum::<f64>() / capacity;
-    let free = MAX_MOVES.saturating_sub(moving.len());
+    let most = MAX_MOVES.max(candidates.len() / UPSTREAMS_PER_MOVE);
+    let free = most.saturating_sub(moving.len());
     let mut spent: Vec<usize> = Vec::new();
     for _ in 0..free {
         let by_use =
--- a/src/stewardship.rs
+++ b/src/stewardship.rs
@@ -22,6 +22,14 @@
 const TICK: Duration = Duration::from_millis(40);
 /// Time in milliseconds between reports of load, which also show whether the holder acts.
 const REPORT_MS: Millis = 500;
+/// Instances that report so often, by rank; the others do with more time for each instance, so
+/// that the holder's load does not grow with their number.
+const WATCHERS: Millis = 8;
+const REPORT_PER_INSTANCE_MS: Millis = 20;
+/// Share of a core for which an instance takes a lease without delay, and the delay of one with
+/// half of it.
+const STRONG: f64 = 0.4;
+const WEAK_DELAY_MS: f64 = 400.0;
 /// Time in milliseconds without word of the holder after which the lease is watched: two reports.
 const SUSPECT_MS: Millis = 900;
 /// Time in milliseconds between looks at the lease while it is watched.
@@ -128,6 +136,8 @@
         settled: (0, now),
         resigned: false,
     };
+    let delay = run.delay();
+    let run = Run { next_call: run.next_call + delay, ..run };
     tokio::task::spawn_local(run.run(rx));
 }
 
@@ -221,7 +231,7 @@
 
     fn step(&mut self) {
         let now = boot_millis();
-        if now >= self.reported + REPORT_MS {
+        if now >= self.reported + self.report_interval() {
             self.reported = now;
             self.report();
         }
@@ -288,13 +298,29 @@
             }
             return;
         }
-        let rank = self.rank();
-        if now >= self.heard.get() + SUSPECT_MS + rank * STAGGER_MS || self.is_unknown() {
+        let patience = self.report_interval() + SUSPECT_MS - REPORT_MS + self.rank() * STAGGER_MS;
+        if now >= self.heard.get() + patience + self.delay() || self.is_unknown() {
             self.next_call = now + LOOK_MS;
             self.read(now, self.lease_row());
         }
     }
 
+    fn report_interval(&self) -> Millis {
+        if self.acting.get() || self.rank() < WATCHERS {
+            return REPORT_MS;
+        }
+        let instances = self.node.views.borrow().instances().count() as Millis;
+        REPORT_MS.max(instances * REPORT_PER_INSTANCE_MS)
+    }
+
+    /// Returns the time by which this instance waits longer than a strong one, in milliseconds.
+    fn delay(&self) -> Millis {
+        let ratio = (STRONG / self.node.cfg.processor.max(0.01) - 1.0).clamp(0.0, 8.0);
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "positive")]
+        let ms = (ratio * WEAK_DELAY_MS) as Millis;
+        ms
+    }
+
     fn is_unknown(&self) -> bool {
         self.node.views.borrow().steward(&self.service).is_none()
     }
