Owners in a compact row, announced to each data centre; connections by share

The row names each owner once; commits go to the first instance of each data centre at once, the feed is the fallback.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -119,6 +119,8 @@
     pub near: bool,
     /// Whether it takes no new work.
     pub leaving: bool,
+    /// Connections that this instance may open to it.
+    pub limit: u32,
 }
 
 /// Load that an upstream reports with an answer.
@@ -165,7 +167,8 @@
 
 impl Upstream {
     fn new(spec: Spec) -> Self {
-        let window = (f64::from(spec.slots) * WINDOW_START).max(WINDOW_MIN);
+        let window = f64::from(spec.slots) * WINDOW_START;
+        let window = window.min(f64::from(spec.limit)).max(WINDOW_MIN);
         Self {
             spec,
             in_flight: 0,
@@ -261,6 +264,7 @@
     fn grow(&mut self, slots: f64) {
         if f64::from(self.in_flight) + 1.0 >= self.window * 0.5 {
             self.window = (self.window + 1.0 / self.window).min(slots * WINDOW_MAX);
+            self.window = self.window.min(f64::from(self.spec.limit)).max(WINDOW_MIN);
         }
     }
 }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -48,6 +48,8 @@
     Following { name: Arc<str>, healthy: bool, leader: Option<Arc<str>> },
     /// What the receiver lacks, from a sender that is complete up to `digest`.
     News { digest: Digest, entries: Vec<Entry> },
+    /// What has just changed.
+    Push { entries: Vec<Entry> },
     /// Load of a keyed service, for the instance that decides about it.
     Heat { service: Arc<str>, report: Option<HeatReport> },
     /// Answer to [`Message::Heat`]: whether the sender decides about the service.
@@ -82,23 +84,40 @@
 }
 
 /// Sends news at once to the instances of the same data centre that rely on this one.
-pub(crate) fn spread(node: &Rc<Node>, before: &Digest) {
-    let views = node.views.borrow();
-    let entries = views.newer_than(before);
-    if entries.is_empty() {
+pub(crate) fn spread(node: &Rc<Node>, fresh: &[Entry]) {
+    if fresh.is_empty() {
         return;
     }
-    let digest = views.digest();
+    let views = node.views.borrow();
     let near = |p: &Peer| p.data_center == node.cfg.data_center;
     let open = node.links.open.borrow();
     let relying = views.instances().filter(|(n, p)| near(p) && **n > node.cfg.name);
     for (name, tx) in relying.filter_map(|(n, _)| open.get_key_value(n)) {
-        if tx.try_send(Message::News { digest, entries: entries.clone() }).is_err() {
+        if tx.try_send(Message::Push { entries: fresh.to_vec() }).is_err() {
             log::debug!(peer = &**name; "link is busy, news wait for the next digest");
         }
     }
 }
 
+/// Sends news at once to the first instance of each other data centre, which follows the store for
+/// the others there, and to all of the own one.
+pub(crate) fn announce(node: &Rc<Node>, entry: &Entry) {
+    let firsts = {
+        let views = node.views.borrow();
+        let mut firsts: HashMap<Arc<str>, Arc<str>> = HashMap::default();
+        for (name, peer) in views.instances().filter(|(n, _)| **n != node.cfg.name) {
+            let first = firsts.entry(peer.data_center.clone()).or_insert_with(|| name.clone());
+            if name < first {
+                *first = name.clone();
+            }
+        }
+        firsts
+    };
+    for name in firsts.values() {
+        send(node, name, Message::Push { entries: vec![entry.clone()] });
+    }
+}
+
 /// Binds the address for instances and starts telling others.
 pub(crate) async fn start(node: &Rc<Node>) -> Result<()> {
     let listener = http::bind("listen for instances", node.cfg.peer).await?;
@@ -339,6 +358,10 @@
             node.update(|views, now| views.merge_from_peer(now, &digest, entries));
             Vec::new()
         }
+        Message::Push { entries } => {
+            node.update(|views, now| views.merge(now, entries));
+            Vec::new()
+        }
         Message::Heat { service, report } => {
             let acting = stewardship::on_heat(node, &service, report);
             vec![Message::Acting { service, acting }]
--- a/src/keymap.rs
+++ b/src/keymap.rs
@@ -1,5 +1,6 @@
 //! Who owns which keys of a service: spans of adjacent keys with their owner and fence.
 
+use crate::collections::HashMap;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -28,7 +29,7 @@
 }
 
 /// Adjacent keys with the same owner and fence.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Span {
     /// The keys.
     pub range: Range,
@@ -37,17 +38,64 @@
     /// Fencing token, higher than any with which these keys were owned before.
     pub fence: u64,
     /// What the last owner handed over, until the owner has been given it.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub handover: Option<Arc<str>>,
 }
 
 /// The committed owners of all keys of one service; keys without a span have no owner.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "CompactMap", try_from = "CompactMap")]
 pub struct KeyMap {
     /// Spans in ascending order without overlaps.
     pub spans: Vec<Span>,
 }
 
+/// Spans that a map may have: a row of the store holds 64 KiB, and a span takes up to 40 bytes.
+pub const MAX_SPANS: usize = 1_200;
+
+/// A map as it is stored and sent: each owner once.
+#[derive(Debug, Serialize, Deserialize)]
+struct CompactMap {
+    owners: Vec<(Arc<str>, u64)>,
+    /// First key, last key, number of the owner, fence, handover.
+    spans: Vec<(Key, Key, usize, u64, Option<Arc<str>>)>,
+}
+
+impl From<KeyMap> for CompactMap {
+    fn from(map: KeyMap) -> Self {
+        let mut numbers: HashMap<Owner, usize> = HashMap::default();
+        let mut owners = Vec::new();
+        let spans = map.spans.into_iter().map(|s| {
+            let next = owners.len();
+            let number = *numbers.entry(s.owner.clone()).or_insert(next);
+            if number == next {
+                owners.push((s.owner.id, s.owner.started));
+            }
+            (s.range.from, s.range.to, number, s.fence, s.handover)
+        });
+        let spans = spans.collect();
+        Self { owners, spans }
+    }
+}
+
+impl TryFrom<CompactMap> for KeyMap {
+    type Error = String;
+
+    fn try_from(map: CompactMap) -> Result<Self, String> {
+        let span = |(from, to, number, fence, handover): (Key, Key, usize, u64, _)| {
+            let (id, started) = map.owners.get(number).ok_or("span without an owner")?.clone();
+            if from > to {
+                return Err("span without keys".to_owned());
+            }
+            Ok(Span { range: Range::new(from, to), owner: Owner { id, started }, fence, handover })
+        };
+        let spans: Vec<Span> = map.spans.into_iter().map(span).collect::<Result<_, _>>()?;
+        if spans.windows(2).any(|w| w[0].range.to >= w[1].range.from) {
+            return Err("spans overlap".to_owned());
+        }
+        Ok(Self { spans })
+    }
+}
+
 impl Range {
     /// Creates the range of keys `from..=to`.
     #[must_use]
--- a/src/node.rs
+++ b/src/node.rs
@@ -42,6 +42,11 @@
 /// Connections to one upstream: twice the largest window of an upstream with six slots.
 const CONNECTIONS: usize = 24;
 
+/// Share of an upstream's connections that all instances together use for requests; the rest is for
+/// orders and for connections that are about to close.
+const CONNECTION_SHARE: f64 = 0.85;
+const MIN_CONNECTIONS: f64 = 2.0;
+
 /// Settings of an instance.
 #[derive(Debug, Clone)]
 pub struct NodeConfig {
@@ -123,6 +128,15 @@
     }
 }
 
+/// Returns the connections to one upstream that one of the instances may open.
+fn connection_share(connections: usize, instances: f64) -> u32 {
+    #[expect(clippy::cast_precision_loss, reason = "small numbers")]
+    let share = connections as f64 * CONNECTION_SHARE / instances;
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "positive")]
+    let whole = share.max(MIN_CONNECTIONS) as u32;
+    whole
+}
+
 /// Returns the owner of a key, if it is an incarnation that is known to live.
 fn place_of(
     owners: Option<&(Arc<KeyMap>, u64)>,
@@ -238,11 +252,11 @@
 
     /// Changes what is known, and acts on it.
     pub fn update(self: &Rc<Self>, change: impl FnOnce(&mut Views, Millis) -> bool) {
-        let before = self.views.borrow().digest();
         let changed = change(&mut self.views.borrow_mut(), boot_millis());
         if changed {
             self.refresh();
-            gossip::spread(self, &before);
+            let fresh = self.views.borrow_mut().take_fresh();
+            gossip::spread(self, &fresh);
         }
     }
 
@@ -330,6 +344,7 @@
                 slots: m.slots,
                 near: near(m),
                 leaving: m.leaving,
+                limit: connection_share(spec.max_connections, instances),
             }));
             let ServiceState { dispatch, waiters, owners, members, keyed, .. } = state;
             dispatch.replace(|ticket| {
--- a/src/rebalance.rs
+++ b/src/rebalance.rs
@@ -5,7 +5,7 @@
     catalog::Member,
     collections::HashMap,
     heat::Heat,
-    keymap::{Key, KeyMap, Owner, Range},
+    keymap::{Key, KeyMap, MAX_SPANS, Owner, Range},
     steward::Reassignment,
 };
 use std::sync::Arc;
@@ -33,6 +33,8 @@
 const UPSTREAMS_PER_MOVE: usize = 4;
 /// Ranges for each upstream beyond which nothing is split for balance: each costs a renewal.
 const MAX_RANGES: usize = 10;
+/// Spans of a map that are kept for keys whose owner is lost.
+const SPARE_SPANS: usize = 200;
 /// Time in milliseconds that a request takes at an upstream of which nothing is known.
 const UNKNOWN_TIME_MS: f64 = 120.0;
 
@@ -81,6 +83,9 @@
     for range in gaps.into_iter().chain(homeless) {
         place(range, &mut candidates, heat, &mut changes);
     }
+    if planned.spans.len() >= MAX_SPANS - SPARE_SPANS {
+        return changes;
+    }
     if changes.is_empty() {
         fill_newcomers(planned, moving, &mut candidates, heat, &mut changes);
     }
--- a/src/stewardship.rs
+++ b/src/stewardship.rs
@@ -18,6 +18,7 @@
 };
 use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use tokio::sync::{mpsc, oneshot};
+use xxhash_rust::xxh3::xxh3_64;
 
 const TICK: Duration = Duration::from_millis(40);
 /// Time in milliseconds between reports of load, which also show whether the holder acts.
@@ -34,8 +35,8 @@
 const SUSPECT_MS: Millis = 900;
 /// Time in milliseconds between looks at the lease while it is watched.
 const LOOK_MS: Millis = 300;
-/// Time in milliseconds by which the instance that is next by name watches later.
-const STAGGER_MS: Millis = 60;
+/// Time in milliseconds by which the instance of the next rank watches later: few do at once.
+const STAGGER_MS: Millis = 100;
 /// Time in milliseconds after which a call that the store has not answered counts as trouble.
 const SLOW_CALL_MS: Millis = 400;
 /// Time in milliseconds until a call that failed is made again.
@@ -45,6 +46,8 @@
 /// Time in milliseconds without another upstream after which keys are dealt out at first: upstreams
 /// register within about a second.
 const SETTLE_MS: Millis = 700;
+/// Least time in milliseconds between commits: moves that end close together share one.
+const COMMIT_SPACING_MS: Millis = 60;
 /// How long a grant lasts while the store answers: a takeover and two renewals fit in.
 const HOLD_MS: Millis = 4_500;
 const RENEW_MS: Millis = 1_200;
@@ -97,6 +100,7 @@
     renewed: Millis,
     reported: Millis,
     planned: Millis,
+    committed: Millis,
     /// Number of upstreams, and since when.
     settled: (usize, Millis),
     resigned: bool,
@@ -133,6 +137,7 @@
         renewed: 0,
         reported: 0,
         planned: 0,
+        committed: 0,
         settled: (0, now),
         resigned: false,
     };
@@ -291,7 +296,10 @@
                 self.read(now, self.owners_row());
             } else if let Some(map) = self.unsettled.clone() {
                 self.change(now, Some(map));
-            } else if let Some(map) = self.steward.as_mut().and_then(|s| s.next_commit(now)) {
+            } else if now >= self.committed + COMMIT_SPACING_MS
+                && let Some(map) = self.steward.as_mut().and_then(|s| s.next_commit(now))
+            {
+                self.committed = now;
                 self.change(now, Some(map));
             } else if now >= self.renewed + lease::RENEW_MS {
                 self.change(now, None);
@@ -325,10 +333,13 @@
         self.node.views.borrow().steward(&self.service).is_none()
     }
 
-    /// Returns the position of this instance among all by name.
+    /// Returns the position of this instance in an order that mixes the data centres and differs
+    /// between services.
     fn rank(&self) -> Millis {
+        let place = |name: &str| xxh3_64(format!("{name}/{}", self.service).as_bytes());
+        let own = place(&self.node.cfg.name);
         let views = self.node.views.borrow();
-        views.instances().filter(|(name, _)| **name < self.node.cfg.name).count() as Millis
+        views.instances().filter(|(name, _)| place(name) < own).count() as Millis
     }
 
     fn read(&mut self, now: Millis, name: RowName) {
@@ -420,6 +431,7 @@
         let value = Some(Value::Steward(self.node.cfg.name.clone()));
         let key = self.service.clone();
         let entry = Entry { kind: Kind::Steward, key, revision, value };
+        gossip::announce(&self.node, &entry);
         self.node.update(|views, now| views.merge(now, [entry]));
     }
 
@@ -435,6 +447,7 @@
         );
         let value = Some(Value::Owners(Arc::new(map)));
         let entry = Entry { kind: Kind::Owners, key: self.service.clone(), revision, value };
+        gossip::announce(&self.node, &entry);
         self.node.update(|views, now| views.merge(now, [entry]));
     }
 
--- a/src/views.rs
+++ b/src/views.rs
@@ -82,6 +82,8 @@
 #[derive(Debug, Default)]
 pub struct Views {
     entries: HashMap<(Kind, Arc<str>), Entry>,
+    /// Entries that changed since they were last passed on.
+    fresh: Vec<Entry>,
     digest: Digest,
     lapsed: HashMap<Arc<str>, (Arc<Member>, Millis)>,
     trouble_until: Option<Millis>,
@@ -117,10 +119,16 @@
         if entry.kind == Kind::Member {
             self.note_lapse(now, old.and_then(|o| o.value.clone()), &entry);
         }
+        self.fresh.push(entry.clone());
         self.entries.insert(at, entry);
         true
     }
 
+    /// Returns the entries that changed since the last call.
+    pub fn take_fresh(&mut self) -> Vec<Entry> {
+        std::mem::take(&mut self.fresh)
+    }
+
     /// Remembers an upstream whose entry vanished during or just after trouble of the store.
     fn note_lapse(&mut self, now: Millis, old: Option<Value>, new: &Entry) {
         let troubled = self.trouble_until.is_some_and(|t| now < t + LAPSE_SPAN_MS);
