Releases wait for grants on their way; moves after a takeover; told beforehand

Test: release_waits_for_grants_on_their_way, and the search and walks with slow grants, fail first. Now it commits the same owners with a new fence, which owners take as refusal of older grants. Test: takeover_does_not_hold_up_moves. Cause 3: each entry learnt of a move by a refused request. The steward tells them. Cause 4: a restarted holder waited 2.6 s for its own lease; lost keys were cut into four parts each until nothing could be balanced.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -10,6 +10,7 @@
     error::{Cause, Error, Result},
     heat::HeatReport,
     http,
+    keymap::Range,
     node::Node,
     stewardship,
     views::{Digest, Entry, Peer},
@@ -36,6 +37,15 @@
 /// Bytes of one message; a configuration with thousands of routes fits.
 const MAX_MESSAGE: usize = 16 << 20;
 
+/// Keys of a service that are about to be released by their owner.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Moving {
+    pub service: Arc<str>,
+    /// Revision of the owners in force; a later one ends the move.
+    pub revision: u64,
+    pub ranges: Vec<Range>,
+}
+
 /// What instances tell each other.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum Message {
@@ -50,6 +60,8 @@
     News { digest: Digest, entries: Vec<Entry> },
     /// What has just changed.
     Push { entries: Vec<Entry> },
+    /// Keys that are about to be released.
+    Moving(Moving),
     /// Load of a keyed service, for the instance that decides about it.
     Heat { service: Arc<str>, report: Option<HeatReport> },
     /// Answer to [`Message::Heat`]: whether the sender decides about the service.
@@ -85,23 +97,27 @@
 
 /// Sends news at once to the instances of the same data centre that rely on this one.
 pub(crate) fn spread(node: &Rc<Node>, fresh: &[Entry]) {
-    if fresh.is_empty() {
-        return;
+    if !fresh.is_empty() {
+        pass_on(node, &Message::Push { entries: fresh.to_vec() });
     }
+}
+
+/// Sends a message to the instances of the same data centre that rely on this one.
+fn pass_on(node: &Rc<Node>, message: &Message) {
     let views = node.views.borrow();
     let near = |p: &Peer| p.data_center == node.cfg.data_center;
     let open = node.links.open.borrow();
     let relying = views.instances().filter(|(n, p)| near(p) && **n > node.cfg.name);
     for (name, tx) in relying.filter_map(|(n, _)| open.get_key_value(n)) {
-        if tx.try_send(Message::Push { entries: fresh.to_vec() }).is_err() {
+        if tx.try_send(message.clone()).is_err() {
             log::debug!(peer = &**name; "link is busy, news wait for the next digest");
         }
     }
 }
 
-/// Sends news at once to the first instance of each other data centre, which follows the store for
-/// the others there, and to all of the own one.
-pub(crate) fn announce(node: &Rc<Node>, entry: &Entry) {
+/// Sends a message at once to the first instance of each data centre, which passes it on to the
+/// others there.
+pub(crate) fn announce(node: &Rc<Node>, message: &Message) {
     let firsts = {
         let views = node.views.borrow();
         let mut firsts: HashMap<Arc<str>, Arc<str>> = HashMap::default();
@@ -114,7 +130,7 @@
         firsts
     };
     for name in firsts.values() {
-        send(node, name, Message::Push { entries: vec![entry.clone()] });
+        send(node, name, message.clone());
     }
 }
 
@@ -359,6 +375,12 @@
             node.update(|views, now| views.merge(now, entries));
             Vec::new()
         }
+        Message::Moving(moving) => {
+            if node.pause(&moving) {
+                pass_on(node, &Message::Moving(moving));
+            }
+            Vec::new()
+        }
         Message::Heat { service, report } => {
             let acting = stewardship::on_heat(node, &service, report);
             vec![Message::Acting { service, acting }]
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -85,7 +85,9 @@
         let State::Watching(Some((_, since))) = &self.state else {
             return None;
         };
-        let free = row.is_none_or(|(r, _)| r.holder.is_none()) || mine;
+        // Another process of this instance has ended before this one started.
+        let own = row.is_some_and(|(r, _)| r.holder.as_deref() == Some(&*self.name));
+        let free = row.is_none_or(|(r, _)| r.holder.is_none()) || mine || own;
         (free || sent >= since + WATCH_MS).then_some(revision)
     }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -7,9 +7,10 @@
     collections::HashMap,
     dispatch::{Dispatch, Place, Spec, Ticket, Verdict},
     error::Result,
-    exporter, front, gossip,
+    exporter, front,
+    gossip::{self, Moving},
     heat::{HeatCounter, HeatReport},
-    keymap::{Key, KeyMap},
+    keymap::{Key, KeyMap, Range},
     pool::{Options, Pool},
     ports::{Change, Changed, Ports, RowName},
     stewardship,
@@ -34,6 +35,9 @@
 /// Time in milliseconds after which a table whose call has not returned counts as not followed: the
 /// time for which the store holds a call, and one call.
 const FOLLOWED_MS: Millis = 2_700;
+/// Time in milliseconds for which requests wait for a move that is not heard of again: the work that
+/// runs at the old owner, for nine in ten.
+const PAUSE_MS: Millis = 700;
 /// Time in milliseconds after its start in which an instance waits for another one to follow the
 /// store: a few rounds of digests.
 const LEADER_WAIT_MS: Millis = 1_500;
@@ -95,6 +99,8 @@
     pub members: HashMap<Arc<str>, Arc<Member>>,
     pub keyed: bool,
     pub owners: Option<(Arc<KeyMap>, u64)>,
+    /// Keys that their owner is about to release: until when, and under which revision.
+    paused: Vec<(Range, Millis, u64)>,
     waiters: HashMap<Ticket, (oneshot::Sender<Verdict>, Option<Key>)>,
 }
 
@@ -102,11 +108,48 @@
     /// Returns where a request may go.
     pub fn place(&self, key: Option<Key>) -> Place {
         match key {
-            Some(key) if self.keyed => place_of(self.owners.as_ref(), &self.members, key),
+            Some(key) if self.keyed => self.place_of(key),
             _ => Place::Any,
         }
     }
 
+    /// Returns the owner of a key, if it is an incarnation that is known to live and keeps the key.
+    fn place_of(&self, key: Key) -> Place {
+        let (owners, members) = (self.owners.as_ref(), &self.members);
+        let span = owners.and_then(|(map, _)| map.find(key));
+        let live = span.filter(|s| {
+            let member = members.get(&s.owner.id);
+            member.is_some_and(|m| m.is(&s.owner.id, s.owner.started) && !m.leaving)
+        });
+        let paused = self.paused.iter().any(|(range, ..)| range.contains(key));
+        match live.filter(|_| !paused) {
+            Some(s) => Place::Owner(s.owner.id.clone(), s.fence),
+            None => Place::Nobody,
+        }
+    }
+
+    /// Gives waiting requests their places anew.
+    fn place_again(&mut self) {
+        let keys = self.waiters.iter().filter_map(|(t, (_, key))| Some((*t, (*key)?)));
+        let places: HashMap<Ticket, Place> =
+            keys.map(|(ticket, key)| (ticket, self.place(Some(key)))).collect();
+        self.dispatch.replace(|ticket| places.get(&ticket).cloned());
+    }
+
+    /// Ends pauses whose time is over or whose move is through; returns whether there were any.
+    fn end_pauses(&mut self, now: Millis) -> bool {
+        let before = self.paused.len();
+        let revision = self.owners.as_ref().map_or(0, |(_, r)| *r);
+        let owners = self.owners.as_ref().map(|(map, _)| map.clone());
+        self.paused.retain(|(range, until, began)| {
+            // The keys have a new fence once their move is through.
+            let span = owners.as_ref().and_then(|map| map.find(range.from));
+            let moved = revision > *began && span.is_none_or(|s| s.fence > *began);
+            now < *until && !moved
+        });
+        self.paused.len() < before
+    }
+
     /// Registers who waits for the verdict on a ticket.
     pub fn wait(&mut self, ticket: Ticket, key: Option<Key>) -> oneshot::Receiver<Verdict> {
         let (tx, rx) = oneshot::channel();
@@ -143,19 +186,6 @@
     whole
 }
 
-/// Returns the owner of a key, if it is an incarnation that is known to live.
-fn place_of(
-    owners: Option<&(Arc<KeyMap>, u64)>,
-    members: &HashMap<Arc<str>, Arc<Member>>,
-    key: Key,
-) -> Place {
-    let span = owners.and_then(|(map, _)| map.find(key));
-    let live = span.filter(|s| {
-        members.get(&s.owner.id).is_some_and(|m| m.is(&s.owner.id, s.owner.started) && !m.leaving)
-    });
-    live.map_or(Place::Nobody, |s| Place::Owner(s.owner.id.clone(), s.fence))
-}
-
 /// One instance.
 #[derive(Debug)]
 pub struct Node {
@@ -257,11 +287,31 @@
             self.refresh();
             return;
         }
-        for state in self.services.borrow_mut().values_mut().filter(|s| s.dispatch.load().1 > 0) {
-            state.poll(now);
+        for state in self.services.borrow_mut().values_mut() {
+            if !state.paused.is_empty() && state.end_pauses(now) {
+                state.place_again();
+            }
+            if state.dispatch.load().1 > 0 {
+                state.poll(now);
+            }
         }
     }
 
+    /// Sends no request for keys that are about to be released; returns whether that was news.
+    pub(crate) fn pause(&self, moving: &Moving) -> bool {
+        let mut services = self.services.borrow_mut();
+        let Some(state) = services.get_mut(&moving.service) else {
+            return false;
+        };
+        let until = boot_millis() + PAUSE_MS;
+        let known =
+            |r: &Range| state.paused.iter().any(|(p, _, rev)| p == r && *rev == moving.revision);
+        let news: Vec<Range> = moving.ranges.iter().copied().filter(|r| !known(r)).collect();
+        state.paused.extend(news.iter().map(|r| (*r, until, moving.revision)));
+        state.place_again();
+        !news.is_empty()
+    }
+
     /// Changes what is known, and acts on it.
     pub fn update(self: &Rc<Self>, change: impl FnOnce(&mut Views, Millis) -> bool) {
         let changed = change(&mut self.views.borrow_mut(), boot_millis());
@@ -352,6 +402,7 @@
                 members: HashMap::default(),
                 keyed: spec.keyed,
                 owners: None,
+                paused: Vec::new(),
                 waiters: HashMap::default(),
             });
             state.keyed = spec.keyed;
@@ -372,11 +423,8 @@
                 leaving: m.leaving,
                 limit: connection_share(spec.max_connections, instances),
             }));
-            let ServiceState { dispatch, waiters, owners, members, keyed, .. } = state;
-            dispatch.replace(|ticket| {
-                let key = waiters.get(&ticket)?.1.filter(|_| *keyed)?;
-                Some(place_of(owners.as_ref(), members, key))
-            });
+            state.end_pauses(now);
+            state.place_again();
             state.poll(now);
         }
         drop(services);
--- a/src/rebalance.rs
+++ b/src/rebalance.rs
@@ -33,6 +33,9 @@
 const UPSTREAMS_PER_MOVE: usize = 4;
 /// Ranges for each upstream beyond which nothing is split for balance: each costs a renewal.
 const MAX_RANGES: usize = 10;
+/// Share of a typical upstream's capacity, and number of keys, that go to one new owner.
+const PART_LOAD: f64 = 0.2;
+const PART_KEYS: f64 = 6_000.0;
 /// Spans of a map that are kept for keys whose owner is lost.
 const SPARE_SPANS: usize = 200;
 /// Time in milliseconds that a request takes at an upstream of which nothing is known.
@@ -152,11 +155,22 @@
     changes
 }
 
-/// Gives a range to the upstreams with the most room, in parts where it is large or busy.
+/// Returns in how many parts a range is given away: more only where it is busy or very wide, as
+/// each part costs a renewal.
+fn parts_of(range: Range, candidates: &[Candidate], heat: &Heat) -> u32 {
+    #[expect(clippy::cast_precision_loss, reason = "small numbers")]
+    let typical = candidates.iter().map(|c| c.capacity).sum::<f64>() / candidates.len() as f64;
+    let by_load = heat.rate(&range) / (PART_LOAD * typical);
+    let by_width = f64::from(range.len()) / PART_KEYS;
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "positive")]
+    let parts = by_load.max(by_width).ceil() as u32;
+    let most = STRIPES.min(u32::try_from(candidates.len()).unwrap_or(1));
+    parts.clamp(1, most.min(range.len()))
+}
+
+/// Gives a range to the upstreams with the most room.
 fn place(range: Range, candidates: &mut [Candidate], heat: &Heat, changes: &mut Vec<Reassignment>) {
-    // One part per candidate at most, none below 64 keys.
-    let parts =
-        (range.len() / 64).clamp(1, STRIPES.min(u32::try_from(candidates.len()).unwrap_or(1)));
+    let parts = parts_of(range, candidates, heat);
     let step = range.len() / parts;
     let mut from = u32::from(range.from);
     for n in 0..parts {
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -1,6 +1,9 @@
 //! Decisions of the instance that holds a service's lease: which grants to renew, which keys to
 //! take back, and what to commit.
 //!
+//! A new steward first commits the owners that it found with a new fence. Grants of its predecessor
+//! that are still on their way are refused by every owner that has taken the new fence.
+//!
 //! A key changes its owner in this order: renewals stop, the owner releases the key or every grant
 //! that covers it has run out, the new owner is committed with a higher fence, and only then it is
 //! granted. A grant without an answer may be carried out late, so a release settles a key only if
@@ -36,6 +39,10 @@
 /// Time in milliseconds after which an unanswered release is sent again.
 const RELEASE_RETRY_MS: Millis = 700;
 
+/// Time in milliseconds between telling the instances that keys are about to move and asking for
+/// their release: several times the way between data centres.
+const NOTICE_MS: Millis = 15;
+
 /// A grant to send.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GrantOrder {
@@ -94,16 +101,32 @@
     range: Range,
     owner: Owner,
     fence: u64,
-    /// When the last of them has run out for certain.
-    until: Millis,
+    /// When the last answered one has run out for certain.
+    answered_until: Millis,
     /// When the next one is due.
     due: Millis,
     /// Those that have not been answered, and when they have run out for certain.
-    open: HashMap<OrderId, Millis>,
+    open: HashMap<OrderId, Open>,
     /// Whether one has been answered with success.
     granted: bool,
 }
 
+impl Hold {
+    /// Returns when the last of the grants has run out for certain.
+    fn until(&self) -> Millis {
+        self.open.values().map(|o| o.until).fold(self.answered_until, Millis::max)
+    }
+}
+
+/// A grant that has not been answered.
+#[derive(Debug, Clone, Copy)]
+struct Open {
+    /// When it has run out for certain.
+    until: Millis,
+    /// Whether the sender still waits for the answer, so that it may be on its way.
+    on_its_way: bool,
+}
+
 #[derive(Debug, Clone)]
 struct Move {
     range: Range,
@@ -123,9 +146,12 @@
     times: GrantTimes,
     map: KeyMap,
     revision: u64,
-    /// Fences up to this one may be covered by grants of earlier stewards until `inherited_until`.
-    inherited_fence: u64,
+    /// Keys and owners that grants of earlier stewards may cover until `inherited_until`; an owner
+    /// that has taken a higher fence refuses those.
+    inherited: Vec<(Range, Owner)>,
     inherited_until: Millis,
+    /// Whether the owners at the takeover are still to be committed with a new fence.
+    refence: bool,
     holds: Vec<Hold>,
     moves: Vec<Move>,
     next_order: OrderId,
@@ -139,13 +165,18 @@
     /// Creates the state of a new holder of the lease, from the committed owners.
     #[must_use]
     pub fn new(now: Millis, times: GrantTimes, map: KeyMap, revision: u64) -> Self {
-        let inherited_until = bound(now, times.outage_hold);
-        let holds = Vec::new();
-        let moves = Vec::new();
-        // Fences come from the revision before their commit.
-        let inherited_fence = revision;
-        let next_order = 1;
-        Self { times, map, revision, inherited_fence, inherited_until, holds, moves, next_order }
+        let inherited = map.spans.iter().map(|s| (s.range, s.owner.clone())).collect();
+        Self {
+            times,
+            inherited,
+            inherited_until: bound(now, times.outage_hold),
+            refence: !map.spans.is_empty(),
+            map,
+            revision,
+            holds: Vec::new(),
+            moves: Vec::new(),
+            next_order: 1,
+        }
     }
 
     /// Returns the committed owners.
@@ -175,6 +206,18 @@
         map
     }
 
+    /// Gives all keys a new fence with the next commit, so that adjacent ranges of one owner join.
+    pub fn tidy(&mut self) {
+        self.refence = true;
+    }
+
+    /// Returns how many ranges would join others with a new fence.
+    #[must_use]
+    pub fn joinable(&self) -> usize {
+        let pairs = self.map.spans.windows(2);
+        pairs.filter(|w| w[0].owner == w[1].owner && w[0].fence != w[1].fence).count()
+    }
+
     /// Returns the ranges that are about to change their owner.
     #[must_use]
     pub fn moving(&self) -> Vec<Range> {
@@ -189,7 +232,7 @@
 
     /// Returns the grants that are due, and counts them as sent at `now`.
     pub fn due_grants(&mut self, now: Millis, outage: bool) -> Vec<GrantOrder> {
-        self.holds.retain(|h| h.until > now || h.due > now);
+        self.holds.retain(|h| h.until() > now || h.due > now);
         let hold = if outage { self.times.outage_hold } else { self.times.hold };
         let moving = self.moving();
         let mut orders = Vec::new();
@@ -203,9 +246,8 @@
                 let until = bound(now, hold);
                 let due = now + self.times.renew;
                 let h = &mut self.holds[known];
-                h.until = h.until.max(until);
                 h.due = due;
-                h.open.insert(id, until);
+                h.open.insert(id, Open { until, on_its_way: true });
                 let handover = span.handover.clone().filter(|_| !h.granted);
                 let (owner, fence) = (span.owner.clone(), span.fence);
                 orders.push(GrantOrder { id, range, owner, fence, hold, handover });
@@ -229,7 +271,7 @@
         let (due, granted) = whole.map_or((0, false), |h| (h.due, h.granted));
         let open = HashMap::default();
         let (owner, fence) = (span.owner.clone(), span.fence);
-        self.holds.push(Hold { range, owner, fence, until: 0, due, open, granted });
+        self.holds.push(Hold { range, owner, fence, answered_until: 0, due, open, granted });
         self.holds.len() - 1
     }
 
@@ -246,30 +288,56 @@
         };
         match answer {
             Answer::Done(_) => {
-                h.open.remove(&id);
+                let until = h.open.remove(&id).map_or(0, |o| o.until);
+                h.answered_until = h.answered_until.max(until);
                 h.granted = true;
+                let (range, owner) = (h.range, h.owner.clone());
+                if !self.refence {
+                    self.on_new_fence(range, &owner);
+                }
             }
             Answer::Refused | Answer::NotSent => {
                 h.open.remove(&id);
                 h.due = h.due.min(retry);
             }
-            Answer::Unknown => h.due = h.due.min(retry),
+            Answer::Unknown => {
+                h.due = h.due.min(retry);
+                if let Some(open) = h.open.get_mut(&id) {
+                    open.on_its_way = false;
+                }
+            }
         }
     }
 
+    /// Notes that an owner has taken a fence of this steward: it refuses all earlier grants.
+    fn on_new_fence(&mut self, range: Range, owner: &Owner) {
+        let inherited = std::mem::take(&mut self.inherited);
+        for (old, holder) in inherited {
+            if holder == *owner {
+                self.inherited.extend(old.without(&range).map(|part| (part, holder.clone())));
+            } else {
+                self.inherited.push((old, holder));
+            }
+        }
+    }
+
+    fn inherited_bound(&self, range: Range, owner: &Owner) -> Millis {
+        let covers = |(r, o): &(Range, Owner)| r.overlaps(&range) && o == owner;
+        if self.inherited.iter().any(covers) { self.inherited_until } else { 0 }
+    }
+
     /// Returns when the last grant of a part of `range` to `owner` has run out for certain.
-    fn held_until(&self, range: Range, owner: &Owner, fence: u64) -> Millis {
+    fn held_until(&self, range: Range, owner: &Owner) -> Millis {
         let sent = self.holds.iter().filter(|h| h.owner == *owner && h.range.overlaps(&range));
-        let sent = sent.map(|h| h.until).max().unwrap_or(0);
-        if fence <= self.inherited_fence { sent.max(self.inherited_until) } else { sent }
+        let sent = sent.map(Hold::until).max().unwrap_or(0);
+        sent.max(self.inherited_bound(range, owner))
     }
 
     /// Returns until when a grant that was not answered may still be carried out.
-    fn open_until(&self, now: Millis, range: Range, owner: &Owner, fence: u64) -> Millis {
+    fn open_until(&self, now: Millis, range: Range, owner: &Owner) -> Millis {
         let held = self.holds.iter().filter(|h| h.owner == *owner && h.range.overlaps(&range));
-        let open = held.flat_map(|h| h.open.values()).copied().filter(|t| *t > now).max();
-        let open = open.unwrap_or(0);
-        if fence <= self.inherited_fence { open.max(self.inherited_until) } else { open }
+        let open = held.flat_map(|h| h.open.values()).map(|o| o.until).filter(|t| *t > now).max();
+        open.unwrap_or(0).max(self.inherited_bound(range, owner))
     }
 
     /// Begins to move keys; parts that are moving already or stay with their owner are left out.
@@ -290,27 +358,39 @@
 
     fn begin(&mut self, now: Millis, range: Range, from: Option<(Owner, u64)>, to: Owner) {
         let released = from.is_none();
+        let retry_at = now + NOTICE_MS;
         self.moves.push(Move {
             range,
             from,
             to,
             began: now,
             release: None,
-            retry_at: now,
+            retry_at,
             released,
             handover: None,
             in_commit: false,
         });
     }
 
-    /// Returns the releases to ask for.
+    /// Returns the releases to ask for: none while a grant of the same keys is on its way, which
+    /// could arrive after the release.
     pub fn due_releases(&mut self, now: Millis) -> Vec<ReleaseOrder> {
         let mut orders = Vec::new();
+        let on_its_way = |h: &Hold| h.open.values().any(|o| o.on_its_way && o.until > now);
+        let holds: Vec<(Range, Owner)> = self
+            .holds
+            .iter()
+            .filter(|h| on_its_way(h))
+            .map(|h| (h.range, h.owner.clone()))
+            .collect();
         for m in &mut self.moves {
             let Some((owner, fence)) = m.from.clone().filter(|_| !m.released) else {
                 continue;
             };
-            if m.release.is_some() || now < m.retry_at || m.in_commit {
+            if m.release.is_some() || now < m.retry_at || m.in_commit || self.refence {
+                continue;
+            }
+            if holds.iter().any(|(range, o)| range.overlaps(&m.range) && *o == owner) {
                 continue;
             }
             let id = self.next_order;
@@ -344,26 +424,30 @@
             }
         }
         self.holds.retain(|h| !ended(&h.owner));
+        self.inherited.retain(|(_, owner)| !ended(owner));
     }
 
     fn is_free(&self, now: Millis, m: &Move) -> bool {
-        let Some((owner, fence)) = &m.from else {
+        let Some((owner, _)) = &m.from else {
             return true;
         };
         if m.released {
-            return now >= self.open_until(now, m.range, owner, *fence);
+            return now >= self.open_until(now, m.range, owner);
         }
-        now >= self.held_until(m.range, owner, *fence)
+        now >= self.held_until(m.range, owner)
     }
 
     /// Returns the owners to commit next, if any key is free for its new owner.
     pub fn next_commit(&mut self, now: Millis) -> Option<KeyMap> {
         let free: Vec<bool> = self.moves.iter().map(|m| self.is_free(now, m)).collect();
-        if !free.contains(&true) {
+        if !free.contains(&true) && !self.refence {
             return None;
         }
         let fence = self.revision + 1;
         let mut map = self.map.clone();
+        if self.refence {
+            map.spans.iter_mut().for_each(|s| s.fence = fence);
+        }
         for span in &mut map.spans {
             // A handover is of use for the first grant only.
             let holds = &self.holds;
@@ -387,6 +471,7 @@
         self.map = map;
         self.revision = revision;
         self.moves.retain(|m| !m.in_commit);
+        self.refence = false;
     }
 
     /// Notes that the last commit was not carried out and never will be.
--- a/src/stewardship.rs
+++ b/src/stewardship.rs
@@ -6,7 +6,7 @@
     clock::{Millis, boot_millis},
     collections::HashMap,
     error::Result,
-    gossip::{self, Message},
+    gossip::{self, Message, Moving},
     heat::{Heat, HeatReport},
     keymap::{KeyMap, Owner},
     lease::{self, Lease, LeaseRow},
@@ -46,6 +46,8 @@
 /// Time in milliseconds without another upstream after which keys are dealt out at first: upstreams
 /// register within about a second.
 const SETTLE_MS: Millis = 700;
+/// Ranges, and at least a fifth of all, that a new fence for all keys must join.
+const MIN_JOINED: usize = 20;
 /// Least time in milliseconds between commits: moves that end close together share one.
 const COMMIT_SPACING_MS: Millis = 60;
 /// How long a grant lasts while the store answers: a takeover and two renewals fit in.
@@ -309,7 +311,7 @@
             return;
         }
         let patience = self.report_interval() + SUSPECT_MS - REPORT_MS + self.rank() * STAGGER_MS;
-        if now >= self.heard.get() + patience + self.delay() || self.is_unknown() {
+        if now >= self.heard.get() + patience + self.delay() || self.is_vacant() {
             self.next_call = now + LOOK_MS;
             self.read(now, self.lease_row());
         }
@@ -331,8 +333,10 @@
         ms
     }
 
-    fn is_unknown(&self) -> bool {
-        self.node.views.borrow().steward(&self.service).is_none()
+    /// Returns whether nobody is known to decide, or an earlier process of this instance did.
+    fn is_vacant(&self) -> bool {
+        let views = self.node.views.borrow();
+        views.steward(&self.service).is_none_or(|name| *name == self.node.cfg.name)
     }
 
     /// Returns the position of this instance in an order that mixes the data centres and differs
@@ -430,7 +434,7 @@
         let value = Some(Value::Steward(self.node.cfg.name.clone()));
         let key = self.service.clone();
         let entry = Entry { kind: Kind::Steward, key, revision, value };
-        gossip::announce(&self.node, &entry);
+        gossip::announce(&self.node, &Message::Push { entries: vec![entry.clone()] });
         self.node.update(|views, now| views.merge(now, [entry]));
     }
 
@@ -446,7 +450,7 @@
         );
         let value = Some(Value::Owners(Arc::new(map)));
         let entry = Entry { kind: Kind::Owners, key: self.service.clone(), revision, value };
-        gossip::announce(&self.node, &entry);
+        gossip::announce(&self.node, &Message::Push { entries: vec![entry.clone()] });
         self.node.update(|views, now| views.merge(now, [entry]));
     }
 
@@ -532,9 +536,13 @@
         // Keys are dealt out once, so that those that come a little later get their share too.
         let settling = s.map().spans.is_empty() && now < self.settled.1 + SETTLE_MS;
         s.on_ended(|o| members.iter().any(|m| m.id == o.id && m.started > o.started));
+        let mut began = Vec::new();
         if now >= self.planned + PLAN_MS && self.unsettled.is_none() && !settling {
             self.planned = now;
             self.heat.decay(now);
+            if s.joinable() >= MIN_JOINED.max(s.map().spans.len() / 5) && s.moving().is_empty() {
+                s.tidy();
+            }
             for change in rebalance::plan(&s.planned(), &s.moving(), &members, &self.heat) {
                 let (range, to) = (change.range, &change.to);
                 log::info!(
@@ -543,8 +551,18 @@
                     "keys are to move"
                 );
                 s.reassign(now, &change);
+                began.push(range);
             }
         }
+        if !began.is_empty() {
+            let (service, revision) = (self.service.clone(), s.revision());
+            let moving = Moving { service, revision, ranges: began };
+            self.node.pause(&moving);
+            gossip::announce(&self.node, &Message::Moving(moving));
+        }
+        let Some(s) = &mut self.steward else {
+            return;
+        };
         let grants = s.due_grants(now, self.outage);
         let releases = s.due_releases(now);
         for order in grants {
