--- a/src/rebalance.rs
+++ b/src/rebalance.rs
@@ -65,11 +65,13 @@
 
 /// Plans the owners of keys that have none or whose owner may not keep them, and moves for balance.
 ///
-/// `planned` holds the owners as they will be once the moves in `moving` are through.
+/// `planned` holds the owners as they will be once the moves in `moving` are through; keys in
+/// `settling` moved lately and are not moved for balance.
 #[must_use]
 pub fn plan(
     planned: &KeyMap,
     moving: &[Range],
+    settling: &[Range],
     members: &[Arc<Member>],
     heat: &Heat,
 ) -> Vec<Reassignment> {
@@ -89,6 +91,9 @@
     if planned.spans.len() >= MAX_SPANS - SPARE_SPANS {
         return changes;
     }
+    let open = MAX_MOVES.max(candidates.len() / UPSTREAMS_PER_MOVE).saturating_sub(moving.len());
+    let fixed: Vec<Range> = moving.iter().chain(settling).copied().collect();
+    let moving = &fixed[..];
     if changes.is_empty() {
         fill_newcomers(planned, moving, &mut candidates, heat, &mut changes);
     }
@@ -96,7 +101,7 @@
         promote(planned, moving, &mut candidates, heat, &mut changes);
     }
     if changes.is_empty() && planned.spans.len() < MAX_RANGES * candidates.len() {
-        balance(planned, moving, &mut candidates, heat, &mut changes);
+        balance(planned, moving, open, &mut candidates, heat, &mut changes);
     }
     changes
 }
@@ -148,7 +153,7 @@
             }
             #[expect(clippy::cast_possible_truncation, reason = "a key")]
             let range = Range::new(from as u16, to);
-            changes.push(Reassignment { range, to: c.owner.clone() });
+            changes.push(Reassignment { range, to: c.owner.clone(), owner_lost: false });
             from = u32::from(to) + 1;
         }
     }
@@ -188,7 +193,7 @@
         if let Some(c) = best {
             c.rate += rate;
             c.keys += f64::from(part.len());
-            changes.push(Reassignment { range: part, to: c.owner.clone() });
+            changes.push(Reassignment { range: part, to: c.owner.clone(), owner_lost: true });
         }
     }
 }
@@ -218,7 +223,8 @@
             let range = Range::new(from.max(giver.from), giver.to);
             candidates[n].keys += f64::from(range.len());
             candidates[n].rate += heat.rate(&range);
-            changes.push(Reassignment { range, to: candidates[n].owner.clone() });
+            let to = candidates[n].owner.clone();
+            changes.push(Reassignment { range, to, owner_lost: false });
         }
     }
 }
@@ -248,21 +254,20 @@
 fn balance(
     planned: &KeyMap,
     moving: &[Range],
+    open: usize,
     candidates: &mut [Candidate],
     heat: &Heat,
     changes: &mut Vec<Reassignment>,
 ) {
     let capacity: f64 = candidates.iter().map(|c| c.capacity).sum();
     let average = candidates.iter().map(|c| c.rate).sum::<f64>() / capacity;
-    let most = MAX_MOVES.max(candidates.len() / UPSTREAMS_PER_MOVE);
-    let free = most.saturating_sub(moving.len());
     let mut spent: Vec<usize> = Vec::new();
-    for _ in 0..free {
+    for _ in 0..open {
         let by_use = |a: &&usize, b: &&usize| {
             candidates[**a].utilization().total_cmp(&candidates[**b].utilization())
         };
-        let open: Vec<usize> = (0..candidates.len()).filter(|n| !spent.contains(n)).collect();
-        let Some(giver) = open.iter().max_by(by_use).copied() else {
+        let givers: Vec<usize> = (0..candidates.len()).filter(|n| !spent.contains(n)).collect();
+        let Some(giver) = givers.iter().max_by(by_use).copied() else {
             return;
         };
         let all: Vec<usize> = (0..candidates.len()).collect();
@@ -291,7 +296,8 @@
         candidates[giver].keys -= f64::from(range.len());
         candidates[taker].rate += rate;
         candidates[taker].keys += f64::from(range.len());
-        changes.push(Reassignment { range, to: candidates[taker].owner.clone() });
+        let to = candidates[taker].owner.clone();
+        changes.push(Reassignment { range, to, owner_lost: false });
     }
 }
 
@@ -372,7 +378,7 @@
         if let Some(c) = best.filter(|c| c.capacity > own * PROMOTION) {
             c.rate += rate;
             reserved.push(c.owner.clone());
-            changes.push(Reassignment { range, to: c.owner.clone() });
+            changes.push(Reassignment { range, to: c.owner.clone(), owner_lost: false });
         }
     }
 }
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -39,6 +39,8 @@
 /// Time in milliseconds after which an unanswered release is sent again.
 const RELEASE_RETRY_MS: Millis = 700;
 
+/// How long a grant lasts in milliseconds that only makes an owner take a new fence.
+const FENCE_HOLD_MS: Millis = 300;
 /// Time in milliseconds between telling the instances that keys are about to move and asking for
 /// their release: several times the way between data centres.
 const NOTICE_MS: Millis = 15;
@@ -93,6 +95,8 @@
     pub range: Range,
     /// Who should own them.
     pub to: Owner,
+    /// Whether the present owner seems lost; the change is dropped if it comes back in time.
+    pub owner_lost: bool,
 }
 
 /// Grants of a range that have been sent.
@@ -138,6 +142,7 @@
     released: bool,
     handover: Option<Arc<str>>,
     in_commit: bool,
+    owner_lost: bool,
 }
 
 /// State of the instance that decides for one service.
@@ -242,20 +247,25 @@
                 if self.holds[known].due > now {
                     continue;
                 }
-                let id = self.order_id();
-                let until = bound(now, hold);
-                let due = now + self.times.renew;
-                let h = &mut self.holds[known];
-                h.due = due;
-                h.open.insert(id, Open { until, on_its_way: true });
-                let handover = span.handover.clone().filter(|_| !h.granted);
-                let (owner, fence) = (span.owner.clone(), span.fence);
-                orders.push(GrantOrder { id, range, owner, fence, hold, handover });
+                let handover = span.handover.clone().filter(|_| !self.holds[known].granted);
+                let order = self.order(now, known, hold, self.times.renew);
+                orders.push(GrantOrder { handover, ..order });
             }
         }
+        orders.extend(self.due_fences(now));
         orders
     }
 
+    /// Makes the next grant of a range, and counts it as sent at `now`.
+    fn order(&mut self, now: Millis, known: usize, hold: Millis, next: Millis) -> GrantOrder {
+        let id = self.order_id();
+        let h = &mut self.holds[known];
+        h.due = now + next;
+        h.open.insert(id, Open { until: bound(now, hold), on_its_way: true });
+        let (range, owner, fence) = (h.range, h.owner.clone(), h.fence);
+        GrantOrder { id, range, owner, fence, hold, handover: None }
+    }
+
     /// Finds or creates the state of a range's grants.
     fn hold_index(&mut self, range: Range, span: &Span) -> usize {
         let same = |h: &Hold| h.range == range && h.fence == span.fence && h.owner == span.owner;
@@ -346,17 +356,24 @@
             let owned: Vec<Span> =
                 self.map.spans.iter().filter(|s| s.range.overlaps(&range)).cloned().collect();
             for gap in subtract(range, owned.iter().map(|s| s.range)) {
-                self.begin(now, gap, None, change.to.clone());
+                self.begin(now, gap, None, change);
             }
             for span in owned.into_iter().filter(|s| s.owner != change.to) {
                 if let Some(part) = span.range.intersection(&range) {
-                    self.begin(now, part, Some((span.owner, span.fence)), change.to.clone());
+                    self.begin(now, part, Some((span.owner, span.fence)), change);
                 }
             }
         }
     }
 
-    fn begin(&mut self, now: Millis, range: Range, from: Option<(Owner, u64)>, to: Owner) {
+    fn begin(
+        &mut self,
+        now: Millis,
+        range: Range,
+        from: Option<(Owner, u64)>,
+        change: &Reassignment,
+    ) {
+        let (to, owner_lost) = (change.to.clone(), change.owner_lost);
         let released = from.is_none();
         let retry_at = now + NOTICE_MS;
         self.moves.push(Move {
@@ -369,9 +386,44 @@
             released,
             handover: None,
             in_commit: false,
+            owner_lost,
+        });
+    }
+
+    /// Drops moves away from owners that seemed lost and are back, unless they have released the keys.
+    pub fn on_back(&mut self, is_back: impl Fn(&Owner) -> bool) {
+        self.moves.retain(|m| {
+            let back = m.from.as_ref().is_some_and(|(owner, _)| is_back(owner));
+            !(back && m.owner_lost && !m.released && m.release.is_none() && !m.in_commit)
         });
     }
 
+    /// Returns grants that only make owners take the new fence, for keys that they are to release
+    /// and that a predecessor's grants may cover.
+    fn due_fences(&mut self, now: Millis) -> Vec<GrantOrder> {
+        if self.refence {
+            return Vec::new();
+        }
+        let unfenced = |m: &&Move| {
+            let from = m.from.as_ref().filter(|_| !m.released && m.release.is_none());
+            from.is_some_and(|(owner, _)| self.inherited_bound(m.range, owner) > now)
+        };
+        let ranges: Vec<Range> = self.moves.iter().filter(unfenced).map(|m| m.range).collect();
+        let spans = self.map.spans.clone();
+        let parts = spans
+            .iter()
+            .flat_map(|s| ranges.iter().filter_map(move |r| Some((r.intersection(&s.range)?, s))));
+        let mut orders = Vec::new();
+        for (range, span) in parts {
+            let known = self.hold_index(range, span);
+            if self.holds[known].due > now {
+                continue;
+            }
+            orders.push(self.order(now, known, FENCE_HOLD_MS, self.times.retry));
+        }
+        orders
+    }
+
     /// Returns the releases to ask for: none while a grant of the same keys is on its way, which
     /// could arrive after the release.
     pub fn due_releases(&mut self, now: Millis) -> Vec<ReleaseOrder> {
@@ -383,6 +435,8 @@
             .filter(|h| on_its_way(h))
             .map(|h| (h.range, h.owner.clone()))
             .collect();
+        let inherits = now < self.inherited_until;
+        let unfenced = if inherits { self.inherited.clone() } else { Vec::new() };
         for m in &mut self.moves {
             let Some((owner, fence)) = m.from.clone().filter(|_| !m.released) else {
                 continue;
@@ -393,6 +447,9 @@
             if holds.iter().any(|(range, o)| range.overlaps(&m.range) && *o == owner) {
                 continue;
             }
+            if unfenced.iter().any(|(range, o)| range.overlaps(&m.range) && *o == owner) {
+                continue;
+            }
             let id = self.next_order;
             self.next_order += 1;
             m.release = Some(id);
--- a/src/stewardship.rs
+++ b/src/stewardship.rs
@@ -8,7 +8,7 @@
     error::Result,
     gossip::{self, Message, Moving},
     heat::{Heat, HeatReport},
-    keymap::{KeyMap, Owner},
+    keymap::{KeyMap, Owner, Range},
     lease::{self, Lease, LeaseRow},
     node::Node,
     ports::{Change, Changed, Row, RowName},
@@ -46,6 +46,9 @@
 /// Time in milliseconds without another upstream after which keys are dealt out at first: upstreams
 /// register within about a second.
 const SETTLE_MS: Millis = 700;
+/// Time in milliseconds for which keys that moved are not moved again for balance: rates and times
+/// need about that long to show the effect.
+const SETTLE_MOVED_MS: Millis = 2_500;
 /// Ranges, and at least a fifth of all, that a new fence for all keys must join.
 const MIN_JOINED: usize = 20;
 /// Least time in milliseconds between commits: moves that end close together share one.
@@ -102,6 +105,8 @@
     renewed: Millis,
     reported: Millis,
     planned: Millis,
+    /// Keys that moved lately, and until when they stay.
+    moved: Vec<(Range, Millis)>,
     committed: Millis,
     /// Number of upstreams, and since when.
     settled: (usize, Millis),
@@ -139,6 +144,7 @@
         renewed: 0,
         reported: 0,
         planned: 0,
+        moved: Vec::new(),
         committed: 0,
         settled: (0, now),
         resigned: false,
@@ -535,6 +541,7 @@
         };
         // Keys are dealt out once, so that those that come a little later get their share too.
         let settling = s.map().spans.is_empty() && now < self.settled.1 + SETTLE_MS;
+        s.on_back(|o| members.iter().any(|m| m.is(&o.id, o.started) && !m.leaving));
         s.on_ended(|o| members.iter().any(|m| m.id == o.id && m.started > o.started));
         let mut began = Vec::new();
         if now >= self.planned + PLAN_MS && self.unsettled.is_none() && !settling {
@@ -543,7 +550,10 @@
             if s.joinable() >= MIN_JOINED.max(s.map().spans.len() / 5) && s.moving().is_empty() {
                 s.tidy();
             }
-            for change in rebalance::plan(&s.planned(), &s.moving(), &members, &self.heat) {
+            self.moved.retain(|(_, until)| *until > now);
+            let settling: Vec<Range> = self.moved.iter().map(|(range, _)| *range).collect();
+            let (planned, moving) = (s.planned(), s.moving());
+            for change in rebalance::plan(&planned, &moving, &settling, &members, &self.heat) {
                 let (range, to) = (change.range, &change.to);
                 log::info!(
                     service = &*self.service, from = range.from, to = range.to, owner = &*to.id,
@@ -551,6 +561,7 @@
                     "keys are to move"
                 );
                 s.reassign(now, &change);
+                self.moved.push((range, now + SETTLE_MOVED_MS));
                 began.push(range);
             }
         }
--- a/tests/rebalance.rs
+++ b/tests/rebalance.rs
@@ -29,7 +29,7 @@
 }
 
 fn apply(map: &mut KeyMap, members: &[Arc<Member>], heat: &Heat) -> usize {
-    let changes = plan(map, &[], members, heat);
+    let changes = plan(map, &[], &[], members, heat);
     for c in &changes {
         let (range, owner) = (c.range, c.to.clone());
         map.assign(Span { range, owner, fence: 1, handover: None });
--- a/tests/steward.rs
+++ b/tests/steward.rs
@@ -143,7 +143,10 @@
             mistake,
         };
         let to = world.upstreams[0].owner.clone();
-        world.steward.reassign(START, &Reassignment { range: Range::new(0, u16::MAX), to });
+        world.steward.reassign(
+            START,
+            &Reassignment { range: Range::new(0, u16::MAX), to, owner_lost: false },
+        );
         world.work(Delivery::Answered);
         world
     }
@@ -255,7 +258,7 @@
                 // Releases are asked for a moment after the others have been told.
                 let range = [Range::new(0, 9_999), Range::new(10_000, u16::MAX)][*part];
                 let to = self.upstreams[*to].owner.clone();
-                self.steward.reassign(self.now, &Reassignment { range, to });
+                self.steward.reassign(self.now, &Reassignment { range, to, owner_lost: false });
                 self.now += 20;
                 self.work(Delivery::Answered);
                 self.arrive();
@@ -439,12 +442,13 @@
 fn first_owners_wait_for_nothing() {
     let mut steward = Steward::new(1_000, TIMES, KeyMap::default(), 0);
     let to = Owner { id: "u0".into(), started: 1 };
-    steward.reassign(1_000, &Reassignment { range: Range::new(0, u16::MAX), to });
+    steward
+        .reassign(1_000, &Reassignment { range: Range::new(0, u16::MAX), to, owner_lost: false });
     let map = steward.next_commit(1_000).expect("keys without an owner are free");
     steward.on_committed(map, 14);
     assert_eq!(steward.due_grants(1_000, false).len(), 1);
     let to = Owner { id: "u1".into(), started: 1 };
-    steward.reassign(1_100, &Reassignment { range: Range::new(0, 99), to });
+    steward.reassign(1_100, &Reassignment { range: Range::new(0, 99), to, owner_lost: false });
     let grant = OrderId::from(1u8);
     steward.on_grant(1_100, grant, &Answer::Done(None));
     let release = steward.due_releases(1_120);
@@ -452,3 +456,39 @@
     let map = steward.next_commit(1_150).expect("a released key is free at once");
     assert_eq!(map.spans[0].handover.as_deref(), Some("warm"));
 }
+
+/// An owner that seemed lost and comes back before it was asked to release its keys keeps them.
+#[test]
+fn owner_that_comes_back_keeps_its_keys() {
+    let mut world = World::new(Mistake::None);
+    world.apply(&Step::Cut(0));
+    let to = world.upstreams[1].owner.clone();
+    let change = Reassignment { range: Range::new(0, u16::MAX), to, owner_lost: true };
+    world.steward.reassign(world.now, &change);
+    world.apply(&Step::Wait(100));
+    assert_eq!(world.steward.moving().len(), 1);
+    world.apply(&Step::Heal(0));
+    let owner = world.upstreams[0].owner.clone();
+    world.steward.on_back(|o| *o == owner);
+    assert!(world.steward.moving().is_empty());
+    world.apply(&Step::Wait(1_300));
+    assert_eq!(world.store.0.find(10).map(|s| s.owner.clone()), Some(owner));
+    assert!(world.upstreams[0].holds(world.now, 10));
+}
+
+/// After a takeover, an owner that was cut off meanwhile takes the new fence once it is back, and
+/// its keys move without waiting for the predecessor's grants to run out.
+#[test]
+fn owner_is_fenced_before_it_releases() {
+    let mut world = World::new(Mistake::None);
+    world.apply(&Step::Cut(0));
+    world.apply(&Step::Takeover);
+    world.apply(&Step::Move(0, 1));
+    world.apply(&Step::Wait(1_000));
+    world.apply(&Step::Heal(0));
+    for _ in 0..4 {
+        world.apply(&Step::Wait(400));
+    }
+    let to = world.upstreams[1].owner.clone();
+    assert_eq!(world.store.0.find(10).map(|s| s.owner.clone()), Some(to));
+}
