--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -5,7 +5,7 @@
 //! an upstream by a window that follows the load that the upstream reports: no instance sees what
 //! the others send.
 
-use crate::{clock::Millis, collections::HashMap};
+use crate::{clock::Millis, collections::HashMap, keymap::Key};
 use std::sync::Arc;
 
 /// Identity of a waiting request.
@@ -65,6 +65,8 @@
     pub give_up_at: Millis,
     /// Where it may go.
     pub place: Place,
+    /// Its key, if the service owns keys.
+    pub key: Option<Key>,
     /// Whether its answer is large.
     pub bulky: bool,
     /// Upstreams that it has been sent to already.
@@ -280,14 +282,14 @@
 pub struct Dispatch {
     upstreams: HashMap<Arc<str>, Upstream>,
     waiting: Vec<Waiting>,
-    /// Ranges of trouble with owners: fence under which an owner refused a key, and when.
-    refused: HashMap<(Arc<str>, u64), Millis>,
+    /// Keys that an owner refused under a fence, and until when nothing is sent for them.
+    refused: HashMap<(Key, u64), Millis>,
     next_ticket: Ticket,
 }
 
 /// Time in milliseconds for which nothing is sent to an owner for a key that it has refused, unless
 /// the key's fence changes.
-const REFUSED_MS: Millis = 250;
+const REFUSED_MS: Millis = 120;
 
 impl Dispatch {
     /// Takes in the upstreams of the service.
@@ -325,7 +327,7 @@
         if let Some(reason) = self.hopeless(now, &ask) {
             return Ok(self.reject(now, &ask, reason));
         }
-        let ahead = self.ahead(&ask);
+        let ahead = self.ahead(now, &ask);
         if ahead == 0
             && let Some(id) = self.choose(now, &ask)
         {
@@ -368,9 +370,9 @@
     }
 
     /// Notes that an owner refused a key that it was granted under `fence`.
-    pub fn on_refused_key(&mut self, now: Millis, id: &Arc<str>, fence: u64) {
+    pub fn on_refused_key(&mut self, now: Millis, key: Key, fence: u64) {
         self.refused.retain(|_, until| *until > now);
-        self.refused.insert((id.clone(), fence), now + REFUSED_MS);
+        self.refused.insert((key, fence), now + REFUSED_MS);
     }
 
     /// Decides about the waiting requests.
@@ -418,7 +420,7 @@
 
     fn reject(&self, now: Millis, ask: &Ask, reason: Rejection) -> Verdict {
         let wait = match reason {
-            Rejection::Overload => self.expected_wait(now, ask, self.ahead(ask)),
+            Rejection::Overload => self.expected_wait(now, ask, self.ahead(now, ask)),
             Rejection::NoUpstream | Rejection::NoOwner => RETURN_MAX_MS / 2.0,
         };
         // Spread over a span of its own length, so that those turned away together do not return
@@ -448,14 +450,25 @@
         }
     }
 
+    /// Returns whether the owner of the request's key has refused it lately.
+    fn is_refused(&self, now: Millis, ask: &Ask) -> bool {
+        let (Some(key), Place::Owner(_, fence)) = (ask.key, &ask.place) else {
+            return false;
+        };
+        self.refused.get(&(key, *fence)).is_some_and(|until| now < *until)
+    }
+
     /// Returns how many waiting requests of the same or a higher rank compete with `ask`.
-    fn ahead(&self, ask: &Ask) -> usize {
+    ///
+    /// Requests for keys that their owner has just refused do not hold up others.
+    fn ahead(&self, now: Millis, ask: &Ask) -> usize {
         let same = |w: &&Waiting| match (&w.ask.place, &ask.place) {
             (Place::Owner(a, _), Place::Owner(b, _)) => a == b,
             (Place::Any, Place::Any) => true,
             _ => false,
         };
-        self.waiting.iter().filter(same).filter(|w| w.ask.rank <= ask.rank).count()
+        let before = |w: &&Waiting| w.ask.rank <= ask.rank && !self.is_refused(now, &w.ask);
+        self.waiting.iter().filter(same).filter(before).count()
     }
 
     /// Returns the time in milliseconds that a request waits behind `ahead` others.
@@ -481,10 +494,10 @@
     fn choose(&self, now: Millis, ask: &Ask) -> Option<Arc<str>> {
         match &ask.place {
             Place::Nobody => None,
-            Place::Owner(id, fence) => {
-                let refused = self.refused.get(&(id.clone(), *fence)).is_some_and(|t| now < *t);
+            Place::Owner(id, _) => {
                 let u = self.upstreams.get(id)?;
-                let open = !u.spec.leaving && !u.is_ejected(now) && u.has_room() && !refused;
+                let open = !u.spec.leaving && !u.is_ejected(now) && u.has_room();
+                let open = open && !self.is_refused(now, ask);
                 open.then(|| id.clone())
             }
             Place::Any => {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -254,10 +254,10 @@
     };
     match (lesson.end, lesson.load) {
         (End::NotOwner, _) => {
-            if let Place::Owner(owner, fence) = state.place(cx.key)
+            if let (Place::Owner(owner, fence), Some(key)) = (state.place(cx.key), cx.key)
                 && owner == *id
             {
-                state.dispatch.on_refused_key(boot_millis(), id, fence);
+                state.dispatch.on_refused_key(boot_millis(), key, fence);
             }
         }
         (End::Answered(took), Some(Load { waiting: 0, .. })) if cx.key.is_some() => {
@@ -301,6 +301,7 @@
         objective_at: cx.arrived + cx.rule.objective_ms,
         give_up_at: cx.work_until,
         place: state.place(cx.key),
+        key: cx.key,
         bulky: cx.rule.bulky,
         tried: cx.tried.clone(),
     }
--- /dev/null
+++ b/tests/dispatch.rs
@@ -0,0 +1,199 @@
+//! Waiting, refusing and placing requests, replayed over patterns of load.
+
+use mulberryspur::dispatch::{Ask, Dispatch, End, Load, Place, Rejection, Spec, Verdict};
+use std::{collections::BinaryHeap, sync::Arc};
+
+const OBJECTIVE_MS: u64 = 400;
+
+fn spec(n: usize, near: bool) -> Spec {
+    Spec { id: format!("u{n}").into(), slots: 6, near, leaving: false, limit: 20 }
+}
+
+fn ask(now: u64, rank: u8, place: Place) -> Ask {
+    Ask {
+        rank,
+        arrived: now,
+        objective_at: now + OBJECTIVE_MS,
+        give_up_at: now + 1_200,
+        place,
+        key: None,
+        bulky: false,
+        tried: Vec::new(),
+    }
+}
+
+fn owner() -> Place {
+    Place::Owner("u0".into(), 1)
+}
+
+fn sent(verdict: &Result<Verdict, u64>) -> Option<Arc<str>> {
+    match verdict {
+        Ok(Verdict::Send(id)) => Some(id.clone()),
+        _ => None,
+    }
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    in_time: usize,
+    late: usize,
+    refused: usize,
+    /// Longest time in milliseconds until a refusal.
+    slowest_refusal: u64,
+}
+
+/// One owner with six slots of `work` milliseconds gets a request each `every` milliseconds for ten
+/// seconds.
+fn replay(every: u64, work: u64) -> Outcome {
+    let mut d = Dispatch::default();
+    d.set_upstreams([spec(0, true)]);
+    let mut out = Outcome::default();
+    let mut arrived = std::collections::HashMap::new();
+    // Running requests by their end, and the owner's own queue.
+    let mut running: BinaryHeap<std::cmp::Reverse<(u64, u64)>> = BinaryHeap::new();
+    let mut queue: std::collections::VecDeque<u64> = std::collections::VecDeque::new();
+    let id: Arc<str> = "u0".into();
+    for now in 0..10_000u64 {
+        while running.peek().is_some_and(|e| e.0.0 <= now) {
+            let std::cmp::Reverse((_, at)) = running.pop().expect("peeked");
+            let took = now - at;
+            let waiting = u32::try_from(queue.len()).expect("short queue");
+            let load = Load { running: 6, waiting, slots: 6 };
+            d.on_end(now, &id, End::Answered(took as f64), Some(load));
+            if took <= OBJECTIVE_MS { out.in_time += 1 } else { out.late += 1 }
+        }
+        let mut decided = Vec::new();
+        if now % every == 0 {
+            match d.enter(now, ask(now, 1, owner())) {
+                Ok(verdict) => decided.push((now, verdict)),
+                Err(ticket) => {
+                    arrived.insert(ticket, now);
+                }
+            }
+        }
+        for (ticket, verdict) in d.poll(now) {
+            decided.push((arrived.remove(&ticket).expect("known ticket"), verdict));
+        }
+        for (at, verdict) in decided {
+            match verdict {
+                Verdict::Send(_) => queue.push_back(at),
+                Verdict::Reject { .. } => {
+                    out.refused += 1;
+                    out.slowest_refusal = out.slowest_refusal.max(now - at);
+                }
+            }
+        }
+        while running.len() < 6
+            && let Some(at) = queue.pop_front()
+        {
+            running.push(std::cmp::Reverse((now + work, at)));
+        }
+    }
+    out
+}
+
+/// A hot key brings twice what its owner can run: the owner stays busy with requests that are still
+/// in time, and the rest is refused early.
+#[test]
+fn hot_key_is_served_in_time_and_the_rest_refused() {
+    let out = replay(10, 120);
+    let capacity = 10_000 / 20;
+    assert!(out.in_time * 10 >= capacity * 8, "{out:?}");
+    assert!(out.late * 20 <= out.in_time, "{out:?}");
+    assert!(out.slowest_refusal <= OBJECTIVE_MS, "{out:?}");
+}
+
+/// Below the owner's capacity nothing is refused.
+#[test]
+fn load_within_capacity_is_served() {
+    let out = replay(30, 120);
+    assert_eq!((out.refused, out.late), (0, 0), "{out:?}");
+}
+
+#[test]
+fn urgent_requests_go_first() {
+    let mut d = Dispatch::default();
+    d.set_upstreams([spec(0, true)]);
+    while sent(&d.enter(0, ask(0, 2, owner()))).is_some() {}
+    let common = d.enter(1, ask(1, 2, owner())).expect_err("waits");
+    let urgent = d.enter(2, ask(2, 1, owner())).expect_err("waits");
+    d.on_end(3, &"u0".into(), End::Answered(50.0), None);
+    let first = d.poll(3).into_iter().find(|(_, v)| matches!(v, Verdict::Send(_)));
+    assert_eq!(first.map(|(t, _)| t), Some(urgent));
+    assert_ne!(common, urgent);
+}
+
+#[test]
+fn one_refused_key_does_not_hold_up_others_of_its_owner() {
+    let mut d = Dispatch::default();
+    d.set_upstreams([spec(0, true)]);
+    d.on_refused_key(0, 7, 1);
+    let refused = Ask { key: Some(7), ..ask(1, 1, owner()) };
+    assert!(d.enter(1, refused).is_err(), "waits for the next owner");
+    let other = Ask { key: Some(8), ..ask(1, 1, owner()) };
+    assert!(sent(&d.enter(1, other)).is_some());
+}
+
+#[test]
+fn near_upstreams_are_preferred_until_they_are_busy() {
+    let mut d = Dispatch::default();
+    d.set_upstreams([spec(0, true), spec(1, false)]);
+    let id = sent(&d.enter(0, ask(0, 1, Place::Any)));
+    assert_eq!(id.as_deref(), Some("u0"));
+    let busy = Load { running: 6, waiting: 12, slots: 6 };
+    d.on_end(1, &"u0".into(), End::Answered(120.0), Some(busy));
+    let id = sent(&d.enter(2, ask(2, 1, Place::Any)));
+    assert_eq!(id.as_deref(), Some("u1"));
+}
+
+#[test]
+fn large_answers_stay_near() {
+    let mut d = Dispatch::default();
+    d.set_upstreams([spec(0, true), spec(1, false)]);
+    let some = Load { running: 6, waiting: 3, slots: 6 };
+    d.enter(0, ask(0, 1, Place::Any)).expect("room");
+    d.on_end(1, &"u0".into(), End::Answered(120.0), Some(some));
+    let large = Ask { bulky: true, ..ask(2, 1, Place::Any) };
+    assert_eq!(sent(&d.enter(2, large)).as_deref(), Some("u0"));
+}
+
+#[test]
+fn leaving_and_unreachable_upstreams_get_nothing() {
+    let mut d = Dispatch::default();
+    let leaving = Spec { leaving: true, ..spec(0, true) };
+    d.set_upstreams([leaving, spec(1, true), spec(2, true)]);
+    d.enter(0, ask(0, 1, Place::Any)).expect("room");
+    for id in ["u1", "u2"] {
+        d.on_end(1, &id.into(), End::Answered(50.0), None);
+    }
+    d.on_end(1, &"u1".into(), End::Unreachable, None);
+    for now in 2..12 {
+        let id = sent(&d.enter(now, ask(now, 1, Place::Any)));
+        assert_eq!(id.as_deref(), Some("u2"));
+        d.on_end(now, &"u2".into(), End::Answered(1.0), None);
+    }
+}
+
+#[test]
+fn request_without_any_upstream_is_refused_at_once() {
+    let mut d = Dispatch::default();
+    let verdict = d.enter(0, ask(0, 1, Place::Any));
+    let reason = Rejection::NoUpstream;
+    assert!(matches!(verdict, Ok(Verdict::Reject { reason: r, .. }) if r == reason));
+}
+
+/// An upstream that fails a part of its requests gets less, and one that recovers gets more again.
+#[test]
+fn failing_upstream_gets_less() {
+    let mut d = Dispatch::default();
+    d.set_upstreams([spec(0, true), spec(1, true)]);
+    let mut failed = 0;
+    for now in 0..400 {
+        if let Some(id) = sent(&d.enter(now, ask(now, 1, Place::Any))) {
+            let end = if &*id == "u0" { End::Shed } else { End::Answered(20.0) };
+            failed += usize::from(&*id == "u0");
+            d.on_end(now, &id, end, Some(Load { running: 1, waiting: 0, slots: 6 }));
+        }
+    }
+    assert!(failed < 40, "{failed} of 400 went to the failing upstream");
+}
