--- a/tests/steward.rs
+++ b/tests/steward.rs
@@ -335,7 +335,9 @@
 
 fn run(mistake: Mistake, steps: &[Step]) {
     let mut world = World::new(mistake);
-    steps.iter().for_each(|s| world.apply(s));
+    for s in steps {
+        world.apply(s);
+    }
 }
 
 proptest! {
