--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -59,7 +59,8 @@
             let took = now - at;
             let waiting = u32::try_from(queue.len()).expect("short queue");
             let load = Load { running: 6, waiting, slots: 6 };
-            d.on_end(now, &id, End::Answered(took as f64), Some(load));
+            let time = f64::from(u32::try_from(took).expect("short time"));
+            d.on_end(now, &id, End::Answered(time), Some(load));
             if took <= OBJECTIVE_MS { out.in_time += 1 } else { out.late += 1 }
         }
         let mut decided = Vec::new();
