Callers return later the more are turned away

The time to return is the expected wait divided by the share that is served, up to 3 s. Test: callers_return_later_the_more_are_turned_away.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -39,7 +39,13 @@
 const PATIENCE: f64 = 0.9;
 /// Shortest and longest time in milliseconds after which a caller is told to return.
 const RETURN_MIN_MS: f64 = 150.0;
-const RETURN_MAX_MS: f64 = 1_200.0;
+const RETURN_MAX_MS: f64 = 3_000.0;
+/// Time in milliseconds after which a caller returns for a key or service that nobody can serve.
+const RETURN_LOST_MS: f64 = 600.0;
+/// Weight of one request in the share of requests that are turned away.
+const PRESSURE_WEIGHT: f64 = 0.05;
+/// Share of requests that count as served at least, so that the time to return stays bounded.
+const MIN_SERVED: f64 = 0.15;
 
 /// Where a request may go.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -160,6 +166,8 @@
     window: f64,
     time: f64,
     failures: f64,
+    /// Share of the requests for keys that it owns which are turned away.
+    pressure: f64,
     ejections: u32,
     ejected_until: Millis,
     /// Reported total, own share of it then, and when.
@@ -177,6 +185,7 @@
             window,
             time: UNKNOWN_TIME_MS,
             failures: 0.0,
+            pressure: 0.0,
             ejections: 0,
             ejected_until: 0,
             reported: None,
@@ -282,6 +291,8 @@
 pub struct Dispatch {
     upstreams: HashMap<Arc<str>, Upstream>,
     waiting: Vec<Waiting>,
+    /// Share of the requests for any upstream which are turned away.
+    pressure: f64,
     /// Keys that an owner refused under a fence, and until when nothing is sent for them.
     refused: HashMap<(Key, u64), Millis>,
     next_ticket: Ticket,
@@ -331,7 +342,7 @@
         if ahead == 0
             && let Some(id) = self.choose(now, &ask)
         {
-            return Ok(self.send(id));
+            return Ok(self.send(id, &ask));
         }
         let wait = self.expected_wait(now, &ask, ahead);
         #[expect(clippy::cast_precision_loss, reason = "short spans")]
@@ -395,7 +406,7 @@
         for w in keep {
             match self.choose(now, &w.ask) {
                 Some(id) => {
-                    let verdict = self.send(id);
+                    let verdict = self.send(id, &w.ask);
                     verdicts.push((w.ticket, verdict));
                 }
                 None => self.waiting.push(w),
@@ -403,7 +414,7 @@
         }
         for w in late {
             let verdict = match self.choose(now, &w.ask) {
-                Some(id) => self.send(id),
+                Some(id) => self.send(id, &w.ask),
                 None => self.reject(now, &w.ask, Rejection::Overload),
             };
             verdicts.push((w.ticket, verdict));
@@ -411,17 +422,38 @@
         verdicts
     }
 
-    fn send(&mut self, id: Arc<str>) -> Verdict {
+    /// Notes whether a request was turned away, and returns the share of those that are.
+    fn note_pressure(&mut self, place: &Place, turned_away: bool) -> f64 {
+        let pressure = match place {
+            Place::Owner(id, _) => match self.upstreams.get_mut(id) {
+                Some(u) => &mut u.pressure,
+                None => return 0.0,
+            },
+            Place::Any => &mut self.pressure,
+            Place::Nobody => return 0.0,
+        };
+        let now = if turned_away { 1.0 } else { 0.0 };
+        *pressure += PRESSURE_WEIGHT * (now - *pressure);
+        *pressure
+    }
+
+    fn send(&mut self, id: Arc<str>, ask: &Ask) -> Verdict {
+        self.note_pressure(&ask.place, false);
         if let Some(u) = self.upstreams.get_mut(&id) {
             u.in_flight += 1;
         }
         Verdict::Send(id)
     }
 
-    fn reject(&self, now: Millis, ask: &Ask, reason: Rejection) -> Verdict {
+    fn reject(&mut self, now: Millis, ask: &Ask, reason: Rejection) -> Verdict {
         let wait = match reason {
-            Rejection::Overload => self.expected_wait(now, ask, self.ahead(now, ask)),
-            Rejection::NoUpstream | Rejection::NoOwner => RETURN_MAX_MS / 2.0,
+            Rejection::Overload => {
+                // The more are turned away, the longer until a place is likely.
+                let served = 1.0 - self.note_pressure(&ask.place, true);
+                let wait = self.expected_wait(now, ask, self.ahead(now, ask));
+                wait / served.max(MIN_SERVED)
+            }
+            Rejection::NoUpstream | Rejection::NoOwner => RETURN_LOST_MS,
         };
         // Spread over a span of its own length, so that those turned away together do not return
         // together.
@@ -484,9 +516,9 @@
                 let open =
                     self.upstreams.values().filter(|u| !u.spec.leaving && !u.is_ejected(now));
                 let pace: f64 = open.map(|u| u.window.max(WINDOW_MIN) / u.time.max(1.0)).sum();
-                if pace > 0.0 { turns / pace } else { RETURN_MAX_MS }
+                if pace > 0.0 { turns / pace } else { RETURN_LOST_MS }
             }
-            Place::Nobody => RETURN_MAX_MS / 2.0,
+            Place::Nobody => RETURN_LOST_MS,
         }
     }
 
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -111,6 +111,29 @@
     assert_eq!((out.refused, out.late), (0, 0), "{out:?}");
 }
 
+/// A hot key with ten times what its owner can run: callers are told to return later than under a
+/// slight overload, so that they do not come back while it lasts.
+#[test]
+fn callers_return_later_the_more_are_turned_away() {
+    let longest = |requests: u32| {
+        let mut d = Dispatch::default();
+        d.set_upstreams([spec(0, true)]);
+        let mut sum = 0;
+        let mut count = 0;
+        for n in 0..requests {
+            let verdict = d.enter(u64::from(n), ask(u64::from(n), 1, owner()));
+            if let Ok(Verdict::Reject { retry_after, .. }) = verdict {
+                sum += retry_after;
+                count += 1;
+            }
+        }
+        sum / count.max(1)
+    };
+    let (slight, heavy) = (longest(40), longest(400));
+    assert!(heavy > 2 * slight, "{slight} ms and {heavy} ms");
+    assert!(heavy <= 4_500, "{heavy} ms");
+}
+
 #[test]
 fn urgent_requests_go_first() {
     let mut d = Dispatch::default();
