--- a/src/front.rs
+++ b/src/front.rs
@@ -29,6 +29,9 @@
 const HEAD_BYTES: usize = 64 * 1024;
 /// Time for a caller to take the last answer and close.
 const LINGER: Duration = Duration::from_millis(800);
+/// The same once a request has crossed the close: a round trip, and half of the time after which
+/// the request would count as lost.
+const LINGER_CROSSED: Duration = Duration::from_millis(60);
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 
 thread_local! {
@@ -98,15 +101,24 @@
 }
 
 /// Closes a connection so that the last answer arrives: closing with unread bytes would reset it.
+///
+/// A request that crosses the close is not answered, so its sender must learn of that soon.
 async fn linger(mut stream: TcpStream) {
     let mut rest = [0; 1024];
-    let drain = async {
+    let first = async {
         stream.shutdown().await?;
-        while stream.read(&mut rest).await? > 0 {}
-        std::io::Result::Ok(())
+        stream.read(&mut rest).await
     };
-    if let Ok(Err(e)) = tokio::time::timeout(LINGER, drain).await {
-        log::debug!("close a connection from a caller: {e}");
+    let crossed = match tokio::time::timeout(LINGER, first).await {
+        Ok(Ok(bytes)) => bytes > 0,
+        Ok(Err(e)) => {
+            log::debug!("close a connection from a caller: {e}");
+            false
+        }
+        Err(_) => false,
+    };
+    if crossed {
+        tokio::time::sleep(LINGER_CROSSED).await;
     }
 }
 
