--- a/src/budget.rs
+++ b/src/budget.rs
@@ -36,7 +36,14 @@
             n
         };
         let max_saved = per_mille(reserve).max(COST_PER_RETRY);
-        Self { saved: max_saved, earn: per_mille(ratio), max_saved }
+        Self { saved: COST_PER_RETRY, earn: per_mille(ratio), max_saved }
+    }
+
+    /// Takes over the limits of another budget and keeps what has been saved under them.
+    pub fn set_limits(&mut self, limits: &Self) {
+        self.earn = limits.earn;
+        self.max_saved = limits.max_saved;
+        self.saved = self.saved.min(self.max_saved);
     }
 
     /// Notes a first attempt.
--- a/src/front.rs
+++ b/src/front.rs
@@ -21,6 +21,9 @@
 /// Time in milliseconds from falling readiness to closing kept connections: the balancer asks once
 /// a second and takes an instance out after two misses.
 const NOTICE_MS: Millis = 2_200;
+/// Time in milliseconds over which kept connections are closed, as closing hundreds at once keeps a
+/// small instance busy for longer than a request may go unanswered.
+const CLOSE_SPREAD_MS: Millis = 1_000;
 /// Time in milliseconds before the process would be killed at which it ends by itself.
 const END_MARGIN_MS: Millis = 400;
 /// Time for which an idle connection is kept before the configuration is known.
@@ -124,8 +127,9 @@
 
 /// Waits until the balancer has had time to notice that the instance stops.
 async fn notice_over(node: &Rc<Node>) {
+    let notice = NOTICE_MS + rand::random_range(0..CLOSE_SPREAD_MS);
     loop {
-        let left = node.stopping.get().map(|at| (at + NOTICE_MS).saturating_sub(boot_millis()));
+        let left = node.stopping.get().map(|at| (at + notice).saturating_sub(boot_millis()));
         match left {
             Some(0) => return,
             Some(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
--- a/src/node.rs
+++ b/src/node.rs
@@ -371,7 +371,7 @@
         self.retry_limits.set((ratio, reserve));
         let budget = self.retry_budget();
         for state in self.services.borrow_mut().values_mut() {
-            state.budget = budget.clone();
+            state.budget.set_limits(&budget);
         }
     }
 
@@ -406,6 +406,8 @@
                 waiters: HashMap::default(),
             });
             state.keyed = spec.keyed;
+            // The reserve is shared by all instances, which become known one after the other.
+            state.budget.set_limits(&budget);
             state.members = views
                 .members(now)
                 .filter(|m| m.service == spec.name)
