--- a/src/front.rs
+++ b/src/front.rs
@@ -79,8 +79,17 @@
     OPEN.set(OPEN.get() + 1);
     let idle = node.catalog().map_or(DEFAULT_IDLE, |c| Duration::from_millis(c.limits.idle_ms));
     let handler = node.clone();
-    let service =
-        service_fn(move |req: Request<Incoming>| Box::pin(entry::handle(handler.clone(), req)));
+    let running = Rc::new(Cell::new(0u32));
+    let counter = running.clone();
+    let service = service_fn(move |req: Request<Incoming>| {
+        let (handler, counter) = (handler.clone(), counter.clone());
+        Box::pin(async move {
+            counter.set(counter.get() + 1);
+            let res = entry::handle(handler, req).await;
+            counter.set(counter.get() - 1);
+            res
+        })
+    });
     let mut conn = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
@@ -90,6 +99,7 @@
         ended = poll_fn(|cx| conn.poll_without_shutdown(cx)) => Some(ended),
         () = notice_over(&node) => None,
     };
+    let was_idle = running.get() == 0;
     let ended = if let Some(ended) = ended {
         ended
     } else {
@@ -97,6 +107,9 @@
         poll_fn(|cx| conn.poll_without_shutdown(cx)).await
     };
     match ended {
+        // A request that crosses the close of an idle connection stays unread, so its caller knows
+        // that it has not run.
+        Ok(()) if was_idle => {}
         Ok(()) => linger(conn.into_parts().io.into_inner()).await,
         Err(e) => log::debug!("connection from a caller: {e}"),
     }
