--- a/src/steward.rs
+++ b/src/steward.rs
@@ -155,6 +155,9 @@
     /// that has taken a higher fence refuses those.
     inherited: Vec<(Range, Owner)>,
     inherited_until: Millis,
+    /// When keys without an owner may be given to one: grants of owners that cannot be read may
+    /// last until then.
+    vacant_from: Millis,
     /// Whether the owners at the takeover are still to be committed with a new fence.
     refence: bool,
     holds: Vec<Hold>,
@@ -175,6 +178,7 @@
             times,
             inherited,
             inherited_until: bound(now, times.outage_hold),
+            vacant_from: 0,
             refence: !map.spans.is_empty(),
             map,
             revision,
@@ -184,6 +188,14 @@
         }
     }
 
+    /// Creates the state of a new holder of the lease where the committed owners cannot be read: no
+    /// key is given away before the longest grant of an unknown owner has run out.
+    #[must_use]
+    pub fn with_unreadable_owners(now: Millis, times: GrantTimes, revision: u64) -> Self {
+        let vacant_from = bound(now, times.outage_hold);
+        Self { vacant_from, ..Self::new(now, times, KeyMap::default(), revision) }
+    }
+
     /// Returns the committed owners.
     #[must_use]
     pub fn map(&self) -> &KeyMap {
@@ -486,7 +498,7 @@
 
     fn is_free(&self, now: Millis, m: &Move) -> bool {
         let Some((owner, _)) = &m.from else {
-            return true;
+            return now >= self.vacant_from;
         };
         if m.released {
             return now >= self.open_until(now, m.range, owner);
--- a/src/stewardship.rs
+++ b/src/stewardship.rs
@@ -508,19 +508,23 @@
         if row.is_some() && map.is_none() {
             log::error!(service = &*self.service, revision; "the row of owners cannot be read");
         }
+        let times = times(&self.node);
+        let begin = |map: Option<KeyMap>| match map {
+            None if revision > 0 => Steward::with_unreadable_owners(now, times, revision),
+            map => Steward::new(now, times, map.unwrap_or_default(), revision),
+        };
         match &self.steward {
             None => {
-                let map = map.unwrap_or_default();
-                log::info!(service = &*self.service, revision, spans = map.spans.len(); "owners read");
-                self.steward = Some(Steward::new(now, times(&self.node), map, revision));
+                let spans = map.as_ref().map_or(0, |m| m.spans.len());
+                log::info!(service = &*self.service, revision, spans; "owners read");
+                self.steward = Some(begin(map));
             }
             Some(s) if s.revision() == revision => {}
             Some(_) => match (self.unsettled.take(), map) {
                 (Some(own), Some(map)) if own == map => self.on_committed(map, revision),
                 (_, map) => {
                     log::warn!(service = &*self.service, revision; "owners changed by another");
-                    let map = map.unwrap_or_default();
-                    self.steward = Some(Steward::new(now, times(&self.node), map, revision));
+                    self.steward = Some(begin(map));
                 }
             },
         }
--- a/tests/steward.rs
+++ b/tests/steward.rs
@@ -494,3 +494,14 @@
     let to = world.upstreams[1].owner.clone();
     assert_eq!(world.store.0.find(10).map(|s| s.owner.clone()), Some(to));
 }
+
+/// Where the row of owners cannot be read, its grants may last as long as any.
+#[test]
+fn unreadable_owners_are_waited_for() {
+    let mut steward = Steward::with_unreadable_owners(START, TIMES, 7);
+    let to = Owner { id: "u0".into(), started: 1 };
+    let change = Reassignment { range: Range::new(0, u16::MAX), to, owner_lost: false };
+    steward.reassign(START, &change);
+    assert!(steward.next_commit(START + TIMES.outage_hold).is_none());
+    assert!(steward.next_commit(START + TIMES.outage_hold + 700).is_some());
+}
