Clean-up after reading the change: one way to send orders, no dead state

No behaviour changes. The twin functions that send grants and releases share one. An instance's rank, which hashes the names of all instances, was worked out on every tick; now only once it can matter.

--- a/src/ports.rs
+++ b/src/ports.rs
@@ -60,7 +60,8 @@
     pub change: Box<dyn Fn(Change) -> LocalBoxFuture<'static, Changed>>,
 }
 
-/// Sends orders about keys to upstreams.
+/// Sends orders about keys to upstreams. Each call ends within a time of its own: a grant within the
+/// time that the steward allows for its way, a release after the work that runs.
 pub struct Orders {
     /// Grants keys.
     pub grant: Box<dyn Fn(SocketAddr, GrantOrder) -> LocalBoxFuture<'static, Answer>>,
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -136,7 +136,6 @@
     range: Range,
     from: Option<(Owner, u64)>,
     to: Owner,
-    began: Millis,
     release: Option<OrderId>,
     retry_at: Millis,
     released: bool,
@@ -392,7 +391,6 @@
             range,
             from,
             to,
-            began: now,
             release: None,
             retry_at,
             released,
@@ -548,12 +546,6 @@
         self.moves.iter_mut().for_each(|m| m.in_commit = false);
     }
 
-    /// Returns how long the oldest move has been under way, in milliseconds.
-    #[must_use]
-    pub fn oldest_move(&self, now: Millis) -> Millis {
-        self.moves.iter().map(|m| now.saturating_sub(m.began)).max().unwrap_or(0)
-    }
-
     /// Returns the moves, for tests and logs: keys, whether released, and the new owner.
     pub fn moves(&self) -> impl Iterator<Item = (Range, bool, &Owner)> {
         self.moves.iter().map(|m| (m.range, m.released, &m.to))
--- a/src/stewardship.rs
+++ b/src/stewardship.rs
@@ -13,9 +13,10 @@
     node::Node,
     ports::{Change, Changed, Row, RowName},
     rebalance,
-    steward::{Answer, GrantTimes, OrderId, Steward},
+    steward::{Answer, GrantOrder, GrantTimes, OrderId, ReleaseOrder, Steward},
     views::{Entry, Kind, Value},
 };
+use futures::future::LocalBoxFuture;
 use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use tokio::sync::{mpsc, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
@@ -57,8 +58,6 @@
 const HOLD_MS: Millis = 4_500;
 const RENEW_MS: Millis = 1_200;
 const GRANT_RETRY_MS: Millis = 250;
-/// Time that a release may take: the work that runs ends first.
-const RELEASE_LIMIT: Duration = Duration::from_secs(5);
 /// Time at a planned stop for the lease to be given back.
 const RESIGN_LIMIT: Duration = Duration::from_millis(600);
 
@@ -246,7 +245,8 @@
 
     fn step(&mut self) {
         let now = boot_millis();
-        if now >= self.reported + self.report_interval() {
+        // The interval is never shorter, and to work it out takes a look at all instances.
+        if now >= self.reported + REPORT_MS && now >= self.reported + self.report_interval() {
             self.reported = now;
             self.report();
         }
@@ -316,13 +316,22 @@
             }
             return;
         }
-        let patience = self.report_interval() + SUSPECT_MS - REPORT_MS + self.rank() * STAGGER_MS;
-        if now >= self.heard.get() + patience + self.delay() || self.is_vacant() {
+        if self.is_vacant() || self.is_overdue(now) {
             self.next_call = now + LOOK_MS;
             self.read(now, self.lease_row());
         }
     }
 
+    /// Returns whether the holder has not been heard of for longer than this instance waits.
+    fn is_overdue(&self, now: Millis) -> bool {
+        let silent = now.saturating_sub(self.heard.get());
+        let extra = || {
+            let longer = self.report_interval() - REPORT_MS;
+            longer + self.rank() * STAGGER_MS + self.delay()
+        };
+        silent >= SUSPECT_MS && silent >= SUSPECT_MS + extra()
+    }
+
     fn report_interval(&self) -> Millis {
         if self.acting.get() || self.rank() < WATCHERS {
             return REPORT_MS;
@@ -588,28 +597,34 @@
         }
     }
 
-    fn send_grant(&self, order: crate::steward::GrantOrder) {
-        let (id, tx) = (order.id, self.tx.clone());
-        let Some(address) = self.addresses.get(&order.owner).copied() else {
-            let _ = tx.send(Event::Granted(id, Answer::NotSent));
-            return;
-        };
-        let call = (self.node.ports.orders.grant)(address, order);
-        tokio::task::spawn_local(async move {
-            let _ = tx.send(Event::Granted(id, call.await));
-        });
+    fn send_grant(&self, order: GrantOrder) {
+        let id = order.id;
+        let address = self.addresses.get(&order.owner).copied();
+        let call = address.map(|a| (self.node.ports.orders.grant)(a, order));
+        self.send(call, move |answer| Event::Granted(id, answer));
     }
 
-    fn send_release(&self, order: crate::steward::ReleaseOrder) {
-        let (id, tx) = (order.id, self.tx.clone());
-        let Some(address) = self.addresses.get(&order.owner).copied() else {
-            let _ = tx.send(Event::Released(id, Answer::NotSent));
-            return;
-        };
-        let call = (self.node.ports.orders.release)(address, order);
+    fn send_release(&self, order: ReleaseOrder) {
+        let id = order.id;
+        let address = self.addresses.get(&order.owner).copied();
+        let call = address.map(|a| (self.node.ports.orders.release)(a, order));
+        self.send(call, move |answer| Event::Released(id, answer));
+    }
+
+    /// Makes a call to an upstream; without one, its address is not known and nothing is sent.
+    fn send(
+        &self,
+        call: Option<LocalBoxFuture<'static, Answer>>,
+        event: impl FnOnce(Answer) -> Event + 'static,
+    ) {
+        let tx = self.tx.clone();
         tokio::task::spawn_local(async move {
-            let answer = tokio::time::timeout(RELEASE_LIMIT, call).await;
-            let _ = tx.send(Event::Released(id, answer.unwrap_or(Answer::Unknown)));
+            let answer = match call {
+                Some(call) => call.await,
+                None => Answer::NotSent,
+            };
+            // The receiver ends only with the process.
+            let _ = tx.send(event(answer));
         });
     }
 
