Connections that come after the notice of a stop are closed unread

The balancer uses stopping instances while fewer than half of a data centre's are ready. Such a connection was to be closed at once, but whether its request was read first was left to chance: `select!` looks at its branches in random order.

The end of the notice is looked at first.

Test that fails without it (half of its twenty connections were served): connections_after_the_notice_are_closed_unread.

--- a/src/caller.rs
+++ b/src/caller.rs
@@ -168,8 +168,10 @@
         .max_buf_size(HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let ended = tokio::select! {
-        ended = poll_fn(|cx| requests.poll(&mut conn, false, cx)) => Some(ended),
+        // First, so that nothing is read from a connection that comes after the notice.
+        biased;
         () = notice_over(&node) => None,
+        ended = poll_fn(|cx| requests.poll(&mut conn, false, cx)) => Some(ended),
     };
     let was_idle = !requests.behind.divider().is_unanswered();
     let ended = match ended {
