Capacity of upstreams from their own and the common time of answers

The time of an upstream's answers began with its first one and followed by a twentieth; of 206 upstreams, some have only short work at first and look ten times as fast. Once overloaded, they answer nothing without a queue, so the time was never corrected.

An upstream's time lies between its own average and the common one, by the number of its answers; one of which nothing is known counts as average, not as 120 ms.

Test that fails without it: short_work_at_first_draws_no_load (busiest owner at 5.20 of its capacity).

--- a/src/heat.rs
+++ b/src/heat.rs
@@ -10,8 +10,11 @@
 
 /// Span in milliseconds over which rates are averaged: hot keys change within seconds.
 const RATE_SPAN_MS: f64 = 2_000.0;
-/// Weight of one answer in an upstream's average time.
-const TIME_WEIGHT: f64 = 0.05;
+/// Answers of the service that count beside an upstream's own: single ones take many times as long
+/// as others, and of some hundred upstreams, one always has had short work first.
+const COMMON_ANSWERS: f64 = 12.0;
+/// Answers of an upstream that count; older ones weigh less.
+const MAX_ANSWERS: f64 = 40.0;
 /// Keys of one report; the rest is counted to the nearest reported key.
 const MAX_REPORTED_KEYS: usize = 2_048;
 
@@ -66,7 +69,24 @@
 pub struct Heat {
     rates: Vec<f32>,
     decayed: Millis,
-    times: HashMap<Arc<str>, f64>,
+    times: HashMap<Arc<str>, Times>,
+}
+
+/// Answers that count: their number, and the sum of their times in milliseconds.
+#[derive(Debug, Clone, Copy, Default)]
+struct Times {
+    count: f64,
+    sum: f64,
+}
+
+impl Times {
+    fn add(&mut self, count: f64, sum: f64) {
+        self.count += count;
+        self.sum += sum;
+        let factor = (MAX_ANSWERS / self.count).min(1.0);
+        self.count *= factor;
+        self.sum *= factor;
+    }
 }
 
 impl Heat {
@@ -99,10 +119,7 @@
             if *n == 0 {
                 continue;
             }
-            let mean = sum / f64::from(*n);
-            let weight = 1.0 - (1.0 - TIME_WEIGHT).powi((*n).try_into().unwrap_or(i32::MAX));
-            let average = self.times.entry(id.clone()).or_insert(mean);
-            *average += weight * (mean - *average);
+            self.times.entry(id.clone()).or_default().add(f64::from(*n), *sum);
         }
     }
 
@@ -119,9 +136,19 @@
         part.iter().map(|r| f64::from(*r)).sum()
     }
 
-    /// Returns the average time of an answer of an upstream in milliseconds.
+    /// Returns the average time of an answer of all upstreams in milliseconds.
+    #[must_use]
+    pub fn common_time(&self) -> Option<f64> {
+        let (count, sum) =
+            self.times.values().fold((0.0, 0.0), |(n, sum), t| (n + t.count, sum + t.sum));
+        (count > 0.0).then(|| sum / count)
+    }
+
+    /// Returns the time of an answer of an upstream in milliseconds, between its own and the common
+    /// average by how many answers it has given; `common` is [`Heat::common_time`].
     #[must_use]
-    pub fn time(&self, upstream: &str) -> Option<f64> {
-        self.times.get(upstream).copied()
+    pub fn time(&self, upstream: &str, common: f64) -> f64 {
+        let own = self.times.get(upstream).copied().unwrap_or_default();
+        (common * COMMON_ANSWERS + own.sum) / (COMMON_ANSWERS + own.count)
     }
 }
--- a/src/rebalance.rs
+++ b/src/rebalance.rs
@@ -38,7 +38,7 @@
 const PART_KEYS: f64 = 6_000.0;
 /// Spans of a map that are kept for keys whose owner is lost.
 const SPARE_SPANS: usize = 200;
-/// Time in milliseconds that a request takes at an upstream of which nothing is known.
+/// Time in milliseconds that a request takes at a service of which nothing is known.
 const UNKNOWN_TIME_MS: f64 = 120.0;
 
 /// An upstream that may own keys, and its load.
@@ -107,11 +107,12 @@
 }
 
 fn candidates(planned: &KeyMap, members: &[Arc<Member>], heat: &Heat) -> Vec<Candidate> {
+    let common = heat.common_time().unwrap_or(UNKNOWN_TIME_MS);
     let mut found: Vec<Candidate> = members
         .iter()
         .filter(|m| !m.leaving)
         .map(|m| {
-            let time = heat.time(&m.id).unwrap_or(UNKNOWN_TIME_MS).max(1.0);
+            let time = heat.time(&m.id, common).max(1.0);
             let capacity = f64::from(m.slots.max(1)) * 1_000.0 / time;
             Candidate { owner: owner_of(m), capacity, rate: 0.0, keys: 0.0 }
         })
--- a/tests/rebalance.rs
+++ b/tests/rebalance.rs
@@ -122,6 +122,33 @@
     assert!(rest < 8.0, "{rest:.1} other requests per second");
 }
 
+/// Of two hundred equal upstreams, some have only short work at first: they draw no more than they
+/// can carry.
+#[test]
+fn short_work_at_first_draws_no_load() {
+    let all = members(200);
+    let mut map = KeyMap::default();
+    apply(&mut map, &all, &Heat::new(0));
+    let mut heat = heat(6_000.0, 300.0, 30_000, 200);
+    // The time of work is 120 ms on the average, and spread widely.
+    let times = all.iter().enumerate().map(|(n, m)| {
+        let ms = match n % 50 {
+            0 => 9.0,
+            1 => 20.0,
+            k if k % 3 == 0 => 245.0,
+            _ => 67.0,
+        };
+        (m.id.clone(), 1, ms)
+    });
+    let times = times.collect();
+    heat.add(&HeatReport { service: "foldbook".into(), requests: Vec::new(), times });
+    for _ in 0..20 {
+        apply(&mut map, &all, &heat);
+    }
+    let after = utilization(&map, &heat, &all);
+    assert!(after < 1.0, "busiest owner at {after:.2} of its capacity");
+}
+
 #[test]
 fn lost_owner_keys_go_to_those_with_room() {
     let all = members(4);
