Requests of a connection are divided without building them

The division built a whole request (map of headers, path) for each one that a caller sent, beside the one that hyper builds. It needs the length and two flags; only a request that is started early is built now. One difference: a path or method that hyper refuses no longer stops the division, as hyper answers 400 and closes the connection there anyway.

--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -6,7 +6,7 @@
 
 use bytes::BytesMut;
 use hyper::{
-    HeaderMap, Method, Request, Uri, Version,
+    Method, Request, Uri,
     header::{
         CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, TRANSFER_ENCODING, UPGRADE,
     },
@@ -83,9 +83,9 @@
             return;
         }
         match next(&self.ahead) {
-            Next::Whole(req) => {
-                self.last = req.last;
-                self.begin(req.len);
+            Next::Whole { len, last, .. } => {
+                self.last = last;
+                self.begin(len);
             }
             Next::Incomplete if !self.ended && self.ahead.len() < AHEAD_BYTES => {}
             Next::Incomplete | Next::Undivided => self.undivided = true,
@@ -105,13 +105,13 @@
         }
         let before = usize::try_from(self.started.iter().sum::<u64>()).ok()?;
         let rest = self.ahead.get(before..).filter(|rest| !rest.is_empty())?;
-        let Next::Whole(req) = next(rest) else {
+        let Next::Whole { len, has_body: false, last } = next(rest) else {
             return None;
         };
-        let head = req.head?;
-        self.last = req.last;
-        self.started.push_back(req.len);
-        Some((self.current.place + self.started.len() as u64, head))
+        let req = early(rest)?;
+        self.last = last;
+        self.started.push_back(len);
+        Some((self.current.place + self.started.len() as u64, req))
     }
 
     /// Returns the bytes that were read and not handed on.
@@ -146,30 +146,24 @@
 }
 
 /// The first request in a connection's unread bytes.
-#[derive(Debug)]
-pub enum Next {
+#[derive(Debug, PartialEq, Eq)]
+enum Next {
     /// Its head is not complete.
     Incomplete,
-    /// A request of known length.
-    Whole(Box<Divided>),
+    /// A request of `len` bytes, body included.
+    Whole {
+        len: u64,
+        /// Whether it has a body.
+        has_body: bool,
+        /// Whether the connection ends with its answer.
+        last: bool,
+    },
     /// It cannot be told here where the request ends.
     Undivided,
 }
 
-/// A request of known length.
-#[derive(Debug)]
-pub struct Divided {
-    /// Bytes of head and body.
-    pub len: u64,
-    /// The request, if it can be served before the ones ahead of it are answered: it has no body.
-    pub head: Option<Request<()>>,
-    /// Whether the connection ends with its answer.
-    pub last: bool,
-}
-
 /// Looks for the first request in `buf`.
-#[must_use]
-pub fn next(buf: &[u8]) -> Next {
+fn next(buf: &[u8]) -> Next {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Request::new(&mut headers);
     let head_len = match parsed.parse(buf) {
@@ -177,21 +171,22 @@
         Ok(httparse::Status::Partial) => return Next::Incomplete,
         Err(_) => return Next::Undivided,
     };
-    let Some(req) = request(&parsed) else {
-        return Next::Undivided;
-    };
-    let Some(body_len) = body_len(req.headers()) else {
+    let Some(body_len) = body_len(&parsed) else {
         return Next::Undivided;
     };
-    let last = req.headers().get_all(CONNECTION).iter().any(|v| has_token(v, "close"));
-    let plain = body_len == 0 && *req.method() == Method::GET;
-    Next::Whole(Box::new(Divided { len: head_len + body_len, head: plain.then_some(req), last }))
+    let last = values(&parsed, &CONNECTION).any(|v| has_token(v, "close"));
+    Next::Whole { len: head_len + body_len, has_body: body_len > 0, last }
 }
 
-fn request(parsed: &httparse::Request<'_, '_>) -> Option<Request<()>> {
+/// Returns the request that starts `buf`, if it can be served before the ones ahead of it are
+/// answered; it has no body.
+fn early(buf: &[u8]) -> Option<Request<()>> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Request::new(&mut headers);
+    parsed.parse(buf).ok()?;
+    let method: Method = parsed.method?.parse().ok()?;
     let mut req = Request::new(());
-    *req.version_mut() = (parsed.version == Some(1)).then_some(Version::HTTP_11)?;
-    *req.method_mut() = parsed.method?.parse().ok()?;
+    *req.method_mut() = (method == Method::GET).then_some(method)?;
     *req.uri_mut() = parsed.path?.parse::<Uri>().ok()?;
     for header in parsed.headers.iter() {
         let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
@@ -200,23 +195,30 @@
     Some(req)
 }
 
+/// Returns the values of a request's headers of one name.
+fn values<'a>(
+    req: &'a httparse::Request<'_, '_>,
+    name: &'a HeaderName,
+) -> impl Iterator<Item = &'a str> {
+    let named = req.headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name.as_str()));
+    // One that is no text matches nothing that is looked for.
+    named.map(|h| std::str::from_utf8(h.value).unwrap_or_default())
+}
+
 /// Returns the length of a request's body in bytes, if it is told in advance and only once.
-fn body_len(headers: &HeaderMap) -> Option<u64> {
-    if [TRANSFER_ENCODING, EXPECT, UPGRADE].iter().any(|name| headers.contains_key(name)) {
+fn body_len(req: &httparse::Request<'_, '_>) -> Option<u64> {
+    let open = [TRANSFER_ENCODING, EXPECT, UPGRADE];
+    if req.version != Some(1) || open.iter().any(|name| values(req, name).next().is_some()) {
         return None;
     }
-    let mut lens = headers.get_all(CONTENT_LENGTH).iter();
+    let mut lens = values(req, &CONTENT_LENGTH);
     match (lens.next(), lens.next()) {
         (None, _) => Some(0),
-        (Some(len), None) => {
-            let text = len.to_str().ok()?;
-            text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok())?
-        }
+        (Some(len), None) if len.bytes().all(|b| b.is_ascii_digit()) => len.parse().ok(),
         _ => None,
     }
 }
 
-fn has_token(value: &HeaderValue, token: &str) -> bool {
-    let text = value.to_str().unwrap_or_default();
+fn has_token(text: &str, token: &str) -> bool {
     text.split(',').any(|t| t.trim().eq_ignore_ascii_case(token))
 }
