Whether a release is due is one question about one move

`due_releases` copied all grants on their way and all inherited grants to compare them with each move. It now asks `may_release`, which uses the same bound for grants of earlier stewards as the rest of the struct; the two bounds have names instead of a closure. No behaviour changes; the search over short sequences and the random walk pass.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -356,29 +356,33 @@
         }
     }
 
-    /// Returns until when grants of earlier stewards that `covers` selects may last.
-    fn inherited_bound(
-        &self,
-        range: Range,
-        owner: &Owner,
-        covers: impl Fn(&Inherited) -> bool,
-    ) -> Millis {
-        let mut old = self.inherited.iter().filter(|i| i.range.overlaps(&range));
-        if old.any(|i| i.owner == *owner && covers(i)) { self.inherited_until } else { 0 }
+    /// Returns until when grants of earlier stewards may last.
+    fn inherited_bound(&self, range: Range, owner: &Owner) -> Millis {
+        if self.inherits(range, owner).next().is_some() { self.inherited_until } else { 0 }
+    }
+
+    /// Returns until when grants of earlier stewards may still be taken.
+    fn unfenced_until(&self, range: Range, owner: &Owner) -> Millis {
+        let unfenced = self.inherits(range, owner).any(|i| !i.fenced);
+        if unfenced { self.inherited_until } else { 0 }
+    }
+
+    fn inherits(&self, range: Range, owner: &Owner) -> impl Iterator<Item = &Inherited> {
+        self.inherited.iter().filter(move |i| i.range.overlaps(&range) && i.owner == *owner)
     }
 
     /// Returns when the last grant of a part of `range` to `owner` has run out for certain.
     fn held_until(&self, range: Range, owner: &Owner) -> Millis {
         let sent = self.holds.iter().filter(|h| h.owner == *owner && h.range.overlaps(&range));
         let sent = sent.map(Hold::until).max().unwrap_or(0);
-        sent.max(self.inherited_bound(range, owner, |_| true))
+        sent.max(self.inherited_bound(range, owner))
     }
 
     /// Returns until when a grant that was not answered may still be carried out.
     fn open_until(&self, now: Millis, range: Range, owner: &Owner) -> Millis {
         let held = self.holds.iter().filter(|h| h.owner == *owner && h.range.overlaps(&range));
         let open = held.flat_map(|h| h.open.values()).map(|o| o.until).filter(|t| *t > now).max();
-        open.unwrap_or(0).max(self.inherited_bound(range, owner, |i| !i.fenced))
+        open.unwrap_or(0).max(self.unfenced_until(range, owner))
     }
 
     /// Begins to move keys; parts that are moving already or stay with their owner are left out.
@@ -436,7 +440,7 @@
         }
         let unfenced = |m: &&Move| {
             let from = m.from.as_ref().filter(|_| !m.released && m.release.is_none());
-            from.is_some_and(|(owner, _)| self.inherited_bound(m.range, owner, |i| !i.fenced) > now)
+            from.is_some_and(|(owner, _)| self.unfenced_until(m.range, owner) > now)
         };
         let ranges: Vec<Range> = self.moves.iter().filter(unfenced).map(|m| m.range).collect();
         let spans = self.map.spans.clone();
@@ -454,41 +458,37 @@
         orders
     }
 
-    /// Returns the releases to ask for: none while a grant of the same keys is on its way, which
-    /// could arrive after the release.
+    /// Returns the releases to ask for.
     pub fn due_releases(&mut self, now: Millis) -> Vec<ReleaseOrder> {
+        let due = (0..self.moves.len()).filter(|n| self.may_release(now, &self.moves[*n]));
+        let due: Vec<usize> = due.collect();
         let mut orders = Vec::new();
-        let on_its_way = |h: &Hold| h.open.values().any(|o| o.on_its_way && o.until > now);
-        let holds: Vec<(Range, Owner)> = self
-            .holds
-            .iter()
-            .filter(|h| on_its_way(h))
-            .map(|h| (h.range, h.owner.clone()))
-            .collect();
-        let inherits = now < self.inherited_until;
-        let unfenced: Vec<Inherited> =
-            self.inherited.iter().filter(|i| inherits && !i.fenced).cloned().collect();
-        for m in &mut self.moves {
-            let Some((owner, fence)) = m.from.clone().filter(|_| !m.released) else {
-                continue;
-            };
-            if m.release.is_some() || now < m.retry_at || m.in_commit || self.refence {
-                continue;
-            }
-            if holds.iter().any(|(range, o)| range.overlaps(&m.range) && *o == owner) {
-                continue;
-            }
-            if unfenced.iter().any(|i| i.range.overlaps(&m.range) && i.owner == owner) {
-                continue;
+        for n in due {
+            let id = self.order_id();
+            let m = &mut self.moves[n];
+            if let Some((owner, fence)) = m.from.clone() {
+                m.release = Some(id);
+                orders.push(ReleaseOrder { id, range: m.range, owner, fence });
             }
-            let id = self.next_order;
-            self.next_order += 1;
-            m.release = Some(id);
-            orders.push(ReleaseOrder { id, range: m.range, owner, fence });
         }
         orders
     }
 
+    /// Returns whether the release of a move is to be asked for: not while a grant of the same keys
+    /// is on its way, which could arrive after the release.
+    fn may_release(&self, now: Millis, m: &Move) -> bool {
+        let Some((owner, _)) = m.from.as_ref().filter(|_| !m.released) else {
+            return false;
+        };
+        let waits = m.release.is_some() || now < m.retry_at || m.in_commit || self.refence;
+        let on_its_way = |h: &Hold| {
+            h.owner == *owner
+                && h.range.overlaps(&m.range)
+                && h.open.values().any(|o| o.on_its_way && o.until > now)
+        };
+        !waits && !self.holds.iter().any(on_its_way) && self.unfenced_until(m.range, owner) <= now
+    }
+
     /// Takes in how a release ended.
     pub fn on_release(&mut self, now: Millis, id: OrderId, answer: &Answer) {
         let Some(m) = self.moves.iter_mut().find(|m| m.release == Some(id)) else {
