--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -20,7 +20,7 @@
 use hyper::{
     HeaderMap, Request, Response,
     body::Incoming,
-    header::{self, HeaderName, HeaderValue},
+    header::{self, HeaderValue},
     http::request::Parts,
 };
 use std::{
@@ -30,15 +30,6 @@
 };
 
 const REFUSAL_BODY_BYTES: usize = 4 * 1024;
-/// Headers that concern one connection only.
-const HOP_HEADERS: [HeaderName; 6] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    HeaderName::from_static("keep-alive"),
-];
 /// Headers that callers must not set.
 const INTERNAL_HEADERS: [&str; 6] =
     [wire::SLOT, wire::EPOCH, wire::HOP, wire::REFUSED, wire::LOAD, wire::OUTCOME];
@@ -389,7 +380,7 @@
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
     *req.uri_mut() = path.parse().unwrap_or_default();
     let mut headers = head.headers.clone();
-    strip_hop_headers(&mut headers);
+    http::strip_hop_headers(&mut headers);
     for name in INTERNAL_HEADERS {
         headers.remove(name);
     }
@@ -424,21 +415,3 @@
         headers.insert("x-forwarded-for", value);
     }
 }
-
-/// Removes headers that concern one connection only, also those that `Connection` names.
-pub(crate) fn strip_hop_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|n| HeaderName::from_bytes(n.trim().as_bytes()).ok())
-        .collect();
-    for name in named.iter().chain(&HOP_HEADERS) {
-        headers.remove(name);
-    }
-    let trailers = headers.get(header::TE).is_some_and(|v| v.as_bytes() == b"trailers");
-    if !trailers {
-        headers.remove(header::TE);
-    }
-}
--- a/src/bin/mulberryd/config.rs
+++ b/src/bin/mulberryd/config.rs
@@ -24,7 +24,7 @@
             Settings::read(&file)?;
             return Ok(Self::Check(file));
         }
-        let log = matches.get_one::<String>("log").map(|l| level(l));
+        let log = matches.get_one::<String>("log").map(|l| LogLevel::named(l));
         if matches.get_flag("dev") {
             let port = matches.get_one::<u16>("port").copied().unwrap_or(0);
             return Ok(Self::Dev { port, log: log.unwrap_or(LogLevel::Warn) });
@@ -35,13 +35,3 @@
         Ok(Self::Serve(Box::new(settings)))
     }
 }
-
-fn level(name: &str) -> LogLevel {
-    match name {
-        "error" => LogLevel::Error,
-        "warn" => LogLevel::Warn,
-        "debug" => LogLevel::Debug,
-        "trace" => LogLevel::Trace,
-        _ => LogLevel::Info,
-    }
-}
--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -120,7 +120,7 @@
 }
 
 impl Member {
-    /// Returns whether this is another incarnation than the one of `id` that started at `started`.
+    /// Returns whether this is the incarnation of `id` that started at `started`.
     #[must_use]
     pub fn is(&self, id: &str, started: u64) -> bool {
         *self.id == *id && self.started == started
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -129,7 +129,8 @@
     }
 }
 
-async fn upkeep(handle: PrometheusHandle) {
+/// Lets the recorder sum up histograms, in rounds.
+pub(crate) async fn upkeep(handle: PrometheusHandle) {
     let mut tick = tokio::time::interval(UPKEEP);
     loop {
         tick.tick().await;
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -10,7 +10,7 @@
 };
 use hyper::{
     HeaderMap, Request, Response, StatusCode, Uri, Version,
-    header::{self, HeaderName, HeaderValue},
+    header::{self, HeaderValue},
     http::request::Parts,
 };
 use std::{rc::Rc, time::Instant};
@@ -19,17 +19,6 @@
 /// still be replaced; larger ones are streamed.
 const WHOLE_ANSWER_BYTES: u64 = 2 << 20;
 
-/// Headers that concern one connection only.
-const HOP_HEADERS: [HeaderName; 7] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-
 /// How an attempt ended.
 pub(crate) enum Attempt {
     /// The upstream's own answer, to be passed on.
@@ -55,31 +44,17 @@
     }
 }
 
-fn keep_alive() -> HeaderName {
-    HeaderName::from_static("keep-alive")
-}
-
-/// Copies the headers that are passed on.
-fn passed_on(headers: &HeaderMap) -> HeaderMap {
-    let named: Vec<&str> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(',').map(str::trim))
-        .collect();
-    let mut copy = HeaderMap::with_capacity(headers.len() + 2);
-    for (name, value) in headers {
-        let hop = HOP_HEADERS.contains(name) || *name == keep_alive();
-        if !hop && !named.iter().any(|n| name.as_str().eq_ignore_ascii_case(n)) {
-            copy.append(name.clone(), value.clone());
-        }
-    }
-    copy
+/// Removes the headers that are not passed on; trailers are not either.
+fn strip(headers: &mut HeaderMap) {
+    http::strip_hop_headers(headers);
+    headers.remove(header::TE);
+    headers.remove(header::TRAILER);
 }
 
 fn request(node: &Node, head: &Parts, member: &Member, left: Millis, body: Body) -> Request<Body> {
     let dialect = &node.ports.dialect;
-    let mut headers = passed_on(&head.headers);
+    let mut headers = head.headers.clone();
+    strip(&mut headers);
     // The length follows from the body that is sent.
     headers.remove(header::EXPECT);
     headers.insert(dialect.time_left.clone(), HeaderValue::from(left));
@@ -143,7 +118,7 @@
         parts.headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
     let signed = parts.headers.contains_key(&dialect.signature);
     let status = parts.status;
-    parts.headers = passed_on(&parts.headers);
+    strip(&mut parts.headers);
     parts.headers.remove(&dialect.load);
     if length.is_some_and(|n: u64| n > WHOLE_ANSWER_BYTES) && status.is_success() && signed {
         let took = elapsed_ms(started);
--- a/src/http.rs
+++ b/src/http.rs
@@ -3,7 +3,12 @@
 use crate::error::{Cause, Error, Result};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited, combinators::UnsyncBoxBody};
-use hyper::{Request, Response, StatusCode, body::Incoming, service::service_fn};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    body::Incoming,
+    header::{self, HeaderName},
+    service::service_fn,
+};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto, graceful::GracefulShutdown},
@@ -15,6 +20,16 @@
 };
 use tokio_util::sync::CancellationToken;
 
+/// Headers that concern one connection only.
+const HOP_HEADERS: [HeaderName; 6] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
 /// Error type of streamed bodies.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -158,3 +173,21 @@
         .await
         .map_err(|e| Error::new(step, addr.to_string(), Cause::Unreachable(e.to_string())))
 }
+
+/// Removes headers that concern one connection only, also those that `Connection` names.
+pub(crate) fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|n| HeaderName::from_bytes(n.trim().as_bytes()).ok())
+        .collect();
+    for name in named.iter().chain(&HOP_HEADERS) {
+        headers.remove(name);
+    }
+    let trailers = headers.get(header::TE).is_some_and(|v| v.as_bytes() == b"trailers");
+    if !trailers {
+        headers.remove(header::TE);
+    }
+}
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -372,7 +372,7 @@
 fn pass_on(instance: &Arc<Instance>, cx: &RequestContext, attempt: Attempt) -> Response<Body> {
     let Attempt { res, lease, place, outcome, route_lease } = attempt;
     let (mut head, body) = res.into_parts();
-    attempt::strip_hop_headers(&mut head.headers);
+    http::strip_hop_headers(&mut head.headers);
     head.headers.remove(wire::LOAD);
     head.headers.remove(wire::REFUSED);
     let (instance, cx2) = (instance.clone(), cx.clone());
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -126,6 +126,20 @@
     Trace,
 }
 
+impl LogLevel {
+    /// Returns the level of this name, `Info` for any other.
+    #[must_use]
+    pub fn named(name: &str) -> Self {
+        match name {
+            "error" => Self::Error,
+            "warn" => Self::Warn,
+            "debug" => Self::Debug,
+            "trace" => Self::Trace,
+            _ => Self::Info,
+        }
+    }
+}
+
 impl Settings {
     /// Reads and checks a settings file.
     ///
--- a/src/stewardship.rs
+++ b/src/stewardship.rs
@@ -5,7 +5,7 @@
     catalog::Member,
     clock::{Millis, boot_millis},
     collections::HashMap,
-    error::Result,
+    error::{Error, Result},
     gossip::{self, Message, Moving},
     heat::{Heat, HeatReport},
     keymap::{KeyMap, Owner, Range},
@@ -237,8 +237,13 @@
             Event::Changed { sent, commit, changed } => {
                 self.on_changed(now, sent, commit, &changed);
             }
-            Event::LeaseRead { sent, row } => self.on_lease_read(now, sent, row),
-            Event::OwnersRead(row) => self.on_owners_read(now, row),
+            Event::LeaseRead { sent, row: Ok(row) } => {
+                self.on_lease_read(now, sent, row.as_ref());
+            }
+            Event::OwnersRead(Ok(row)) => self.on_owners_read(now, row.as_ref()),
+            Event::LeaseRead { row: Err(e), .. } | Event::OwnersRead(Err(e)) => {
+                self.on_read_failed(now, &e);
+            }
             Event::Resign(done) => self.resign(done),
         }
     }
@@ -469,19 +474,17 @@
         self.node.update(|views, now| views.merge(now, [entry]));
     }
 
-    fn on_lease_read(&mut self, now: Millis, sent: Millis, row: Result<Option<Row>>) {
+    fn on_read_failed(&mut self, now: Millis, e: &Error) {
+        log::debug!(service = &*self.service; "{e}");
+        self.busy = None;
+        self.next_call = now + RETRY_MS;
+    }
+
+    fn on_lease_read(&mut self, now: Millis, sent: Millis, row: Option<&Row>) {
         self.busy = None;
-        let row = match row {
-            Ok(row) => row,
-            Err(e) => {
-                log::debug!(service = &*self.service; "{e}");
-                self.next_call = now + RETRY_MS;
-                return;
-            }
-        };
         // A row that cannot be read is watched like one of a holder that never renews it.
         let unreadable = LeaseRow { holder: Some("".into()), process: 0, number: 0 };
-        let parsed = row.as_ref().map(|r| (decode(&r.value).unwrap_or(unreadable), r.revision));
+        let parsed = row.map(|r| (decode(&r.value).unwrap_or(unreadable), r.revision));
         let held = self.lease.held().is_some();
         let take = self.lease.on_read(sent, parsed.as_ref().map(|(r, n)| (r, *n)));
         if held && self.lease.held().is_none() {
@@ -502,18 +505,10 @@
         }
     }
 
-    fn on_owners_read(&mut self, now: Millis, row: Result<Option<Row>>) {
+    fn on_owners_read(&mut self, now: Millis, row: Option<&Row>) {
         self.busy = None;
-        let row = match row {
-            Ok(row) => row,
-            Err(e) => {
-                log::debug!(service = &*self.service; "{e}");
-                self.next_call = now + RETRY_MS;
-                return;
-            }
-        };
-        let revision = row.as_ref().map_or(0, |r| r.revision);
-        let map = row.as_ref().and_then(|r| decode::<KeyMap>(&r.value));
+        let revision = row.map_or(0, |r| r.revision);
+        let map = row.and_then(|r| decode::<KeyMap>(&r.value));
         if row.is_some() && map.is_none() {
             log::error!(service = &*self.service, revision; "the row of owners cannot be read");
         }
