--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -44,9 +44,6 @@
 /// Time in milliseconds after which a coordinator that has not been heard from counts as silent, so
 /// that its lease is read: about two reports.
 const SILENCE_LIMIT_MS: Millis = 900;
-/// Time in milliseconds between two reads of the lease while there is no other coordinator or it is
-/// silent.
-const LEASE_READ_INTERVAL_MS: Millis = 300;
 /// Time in milliseconds by which each rank starts to read the lease later than the one before, so
 /// that few instances read it at the same time.
 const RANK_DELAY_MS: Millis = 100;
@@ -79,7 +76,7 @@
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Group of the rows in which instances publish their addresses.
-pub(crate) const INSTANCES_GROUP: &str = "instances";
+pub const INSTANCES_GROUP: &str = "instances";
 
 /// Input of a coordinator task.
 enum Event {
@@ -184,7 +181,7 @@
         uncertain_commit: None,
         reread_lease: false,
         outage: false,
-        next_call_at: now + rand::random_range(0..LEASE_READ_INTERVAL_MS),
+        next_call_at: now + rand::random_range(0..lease::MIN_READ_INTERVAL_MS),
         renewal_sent_at: 0,
         reported_at: 0,
         planned_at: 0,
@@ -374,7 +371,7 @@
             return;
         }
         if self.has_no_other_coordinator() || self.is_coordinator_silent(now) {
-            self.next_call_at = now + LEASE_READ_INTERVAL_MS;
+            self.next_call_at = now + lease::MIN_READ_INTERVAL_MS;
             self.read_row(now, self.lease_row_name());
         }
     }
@@ -572,6 +569,8 @@
             }
         } else if let Some(revision) = takeover_revision {
             self.write_lease_at(now, revision, None);
+        } else {
+            self.next_call_at = sent + self.lease.read_delay(sent);
         }
     }
 
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -2,9 +2,10 @@
 //! reaches those that cannot read it.
 //!
 //! Each instance sends its digest, the revisions up to which it knows all entries of the shared
-//! state, to a few others, mostly of its own data centre, and gets the entries that it lacks. So
+//! state, to its relay, or to others in turn if it has none, and gets the entries that it lacks. So
 //! changes also reach an instance that the store refuses or does not answer, or that is cut off
-//! from it.
+//! from it. Only instances without a relay ask other data centres, so that the traffic between data
+//! centres does not grow with the number of instances.
 //!
 //! Normally, only the first instance of a data centre by name follows the store's changes. It is
 //! the relay of the others, its dependents, to which it pushes changes at once. An instance without
@@ -199,7 +200,9 @@
                 None => {}
             },
         }
+        // What changes while a relay is there reaches the others of its data centre through it.
         if round % ROUNDS_PER_REMOTE_DIGEST == 0
+            && relay(&node).is_none()
             && let Some(name) = choose_partner(&node, round / ROUNDS_PER_REMOTE_DIGEST, false)
         {
             send(&node, &name, Message::Digest(digest));
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -19,6 +19,9 @@
 /// Time in milliseconds between renewals of the lease.
 pub const RENEW_INTERVAL_MS: Millis = 500;
 
+/// Shortest time in milliseconds between two reads of the row by one instance.
+pub const MIN_READ_INTERVAL_MS: Millis = 300;
+
 /// Content of the lease's row.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRow {
@@ -100,6 +103,22 @@
         (may_take || sent >= since + TAKEOVER_WAIT_MS).then_some(revision)
     }
 
+    /// Returns the delay in milliseconds until the next read of the row: half of the time until the
+    /// lease may be taken over if the row does not change.
+    ///
+    /// Answers the load of hundreds of instances that cannot hear from a live coordinator: each
+    /// renewal that one of them sees puts its next read off by a second. A row that is about to be
+    /// taken over is read as often as [`MIN_READ_INTERVAL_MS`] allows.
+    #[must_use]
+    pub fn read_delay(&self, now: Millis) -> Millis {
+        let since = match &self.state {
+            State::Watching(Some((_, since))) => *since,
+            _ => return MIN_READ_INTERVAL_MS,
+        };
+        let left = (since + TAKEOVER_WAIT_MS).saturating_sub(now);
+        MIN_READ_INTERVAL_MS.max(left / 2)
+    }
+
     /// Records that a write sent at `sent` succeeded with `revision`.
     pub fn on_written(&mut self, sent: Millis, revision: u64) {
         self.state = State::Holding { revision, renewed_at: sent };
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -1,7 +1,9 @@
 //! The coordinator's lease: it is valid for at most one instance at a time, on clocks that only
 //! measure durations.
 
-use mulberryspur::lease::{Lease, LeaseRow, TAKEOVER_WAIT_MS, VALIDITY_MS};
+use mulberryspur::lease::{
+    Lease, LeaseRow, MIN_READ_INTERVAL_MS, RENEW_INTERVAL_MS, TAKEOVER_WAIT_MS, VALIDITY_MS,
+};
 use proptest::prelude::*;
 
 fn first_row(lease: &mut Lease) -> LeaseRow {
@@ -133,3 +135,43 @@
     let mut other = Lease::new("e1", 2);
     assert_eq!(other.on_read(100, Some((&given_back, 5))), Some(5));
 }
+
+/// Many instances cannot hear from the coordinator, which renews its lease all the same: each reads
+/// the row about once a second, and none takes the lease.
+#[test]
+fn live_lease_is_read_rarely() {
+    let mut holder = Lease::new("e0", 1);
+    let mut watcher = Lease::new("e1", 2);
+    let (mut row, mut revision, mut reads, mut next_read) = (holder.next_row(), 1, 0, 0);
+    for now in 0..20_000 {
+        if now % RENEW_INTERVAL_MS == 0 {
+            row = holder.next_row();
+            revision += 1;
+        }
+        if now >= next_read {
+            reads += 1;
+            assert_eq!(watcher.on_read(now, Some((&row, revision))), None);
+            next_read = now + watcher.read_delay(now);
+        }
+    }
+    assert!(reads <= 20, "{reads} reads in 20 s");
+}
+
+/// A lease that is no longer renewed is taken over within one read interval of the earliest time.
+#[test]
+fn lapsed_lease_is_taken_over_in_time() {
+    let mut holder = Lease::new("e0", 1);
+    let mut watcher = Lease::new("e1", 2);
+    let row = holder.next_row();
+    let mut next_read = 0;
+    let taken_at = (0..10_000).find(|now| {
+        if *now < next_read {
+            return false;
+        }
+        let takeover = watcher.on_read(*now, Some((&row, 1)));
+        next_read = now + watcher.read_delay(*now);
+        takeover.is_some()
+    });
+    let latest = TAKEOVER_WAIT_MS + MIN_READ_INTERVAL_MS;
+    assert!(taken_at.is_some_and(|t| t <= latest), "{taken_at:?}");
+}
