Limit the requests for overloaded owners; few calls to a lost store

Overloaded owners. Change: traffic reports come from all instances every 5 ms per instance (at least every 500 ms) instead of 20; the coordinator compares the requests of the last second for each owner with its capacity, corrected by the queues that responses report, and announces the share that the owner can serve; instances send that share and reject the rest at once. Retry-After may reach 0.3 of the caller's time left.

Change: the longest delay between tries grows with the instance's position in its data centre or rank, one table probes for the others, and an instance that lacks a first read takes the state of others. A coordinator that stops acting counts as silent, not as never heard of, so that the instances read the lease by rank.

--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -15,6 +15,7 @@
     keymap::{KeyMap, KeyRange, Owner},
     lease::{self, Lease, LeaseRow},
     node::Node,
+    overload::OverloadMonitor,
     rebalance,
     routing_config::UpstreamInfo,
     shared_state::{EntryKind, EntryValue, StateEntry},
@@ -35,7 +36,7 @@
 const FREQUENT_REPORTER_COUNT: Millis = 8;
 /// Report interval of the other instances in milliseconds per known instance: the interval is this
 /// times their number.
-const REPORT_PER_INSTANCE_MS: Millis = 20;
+const REPORT_PER_INSTANCE_MS: Millis = 5;
 /// Number of CPU cores with which an instance takes a lease without extra delay.
 const AMPLE_CPU_CORES: f64 = 0.4;
 /// Extra delay in milliseconds of an instance with half of [`AMPLE_CPU_CORES`]. With other numbers
@@ -46,7 +47,7 @@
 const SILENCE_LIMIT_MS: Millis = 900;
 /// Time in milliseconds by which each rank starts to read the lease later than the one before, so
 /// that few instances read it at the same time.
-const RANK_DELAY_MS: Millis = 100;
+const RANK_DELAY_MS: Millis = 40;
 /// Time in milliseconds after which a call that the store has not answered counts as an outage.
 const SLOW_CALL_MS: Millis = 400;
 /// Least time in milliseconds between a failed store call and the next one; a renewal that failed
@@ -103,8 +104,8 @@
 #[derive(Debug)]
 pub(crate) struct CoordinatorHandle {
     tx: mpsc::UnboundedSender<Event>,
-    /// When the service's coordinator was last heard from; 0 once it has said that it does not act
-    /// as the coordinator.
+    /// When the service's coordinator was last heard from, or, once it has said that it does not act
+    /// as the coordinator, at most [`SILENCE_LIMIT_MS`] before that.
     last_heard: Rc<Cell<Millis>>,
     /// Whether this instance acts as the coordinator: its lease is valid, and it has read the
     /// owners.
@@ -122,6 +123,7 @@
     lease: Lease,
     coordinator: Option<Coordinator>,
     traffic: TrafficStats,
+    overload: OverloadMonitor,
     addresses: HashMap<Owner, SocketAddr>,
     /// When the pending call to the store was sent.
     call_sent_at: Option<Millis>,
@@ -136,6 +138,8 @@
     outage: bool,
     /// Earliest time of the next call to the store.
     next_call_at: Millis,
+    /// Reads that have failed since the last one that succeeded.
+    failed_reads: u32,
     /// When the lease's row was last written, successfully or not.
     renewal_sent_at: Millis,
     reported_at: Millis,
@@ -176,12 +180,14 @@
         lease: Lease::new(node.cfg.name.clone(), node.process),
         coordinator: None,
         traffic: TrafficStats::new(now),
+        overload: OverloadMonitor::default(),
         addresses: HashMap::default(),
         call_sent_at: None,
         uncertain_commit: None,
         reread_lease: false,
         outage: false,
         next_call_at: now + rand::random_range(0..lease::MIN_READ_INTERVAL_MS),
+        failed_reads: 0,
         renewal_sent_at: 0,
         reported_at: 0,
         planned_at: 0,
@@ -212,8 +218,11 @@
 /// Notes whether another instance acts as the service's coordinator.
 pub(crate) fn on_coordinator_status(node: &Node, service: &str, acting: bool) {
     if let Some(handle) = node.coordinators.borrow().get(service) {
-        // One that has stopped acting has given the lease back or cannot renew it.
-        handle.last_heard.set(if acting { boot_millis() } else { 0 });
+        let now = boot_millis();
+        // One that has stopped acting has given the lease back or cannot renew it. It counts as
+        // silent, and the instances read the lease in the order of their rank.
+        let silent_since = handle.last_heard.get().min(now.saturating_sub(SILENCE_LIMIT_MS));
+        handle.last_heard.set(if acting { now } else { silent_since });
     }
 }
 
@@ -267,7 +276,7 @@
     fn on_event(&mut self, event: Event) {
         let now = boot_millis();
         match event {
-            Event::Traffic(report) => self.traffic.add_report(&report),
+            Event::Traffic(report) => self.add_report(&report),
             Event::GrantEnded(id, outcome) => {
                 if let Some(coordinator) = &mut self.coordinator {
                     coordinator.on_grant_outcome(now, id, &outcome);
@@ -327,7 +336,7 @@
         let report = self.node.take_traffic_report(&self.service);
         if self.acting.get() {
             if let Some(report) = report {
-                self.traffic.add_report(&report);
+                self.add_report(&report);
             }
             return;
         }
@@ -338,6 +347,25 @@
         }
     }
 
+    fn add_report(&mut self, report: &TrafficReport) {
+        self.traffic.add_report(report);
+        self.overload.add_queues(&report.queues);
+    }
+
+    /// Tells all instances which share of the requests overloaded owners can serve.
+    fn announce_shares(&mut self, now: Millis, upstreams: &[Arc<UpstreamInfo>]) {
+        let Some(owners) = self.coordinator.as_ref().map(Coordinator::owners) else {
+            return;
+        };
+        let Some(shares) = self.overload.update(now, owners, upstreams, &self.traffic) else {
+            return;
+        };
+        log::debug!(service = &*self.service, owners = shares.len(); "shares of overloaded owners");
+        self.node.set_shares(&self.service, shares.clone());
+        let message = Message::Shares { service: self.service.clone(), shares, relayed: false };
+        gossip::broadcast(&self.node, &message);
+    }
+
     /// Notes that the store does not answer; makes all grants due, which then last longer.
     fn enter_outage(&mut self) {
         if !self.outage {
@@ -543,11 +571,17 @@
     fn on_read_failed(&mut self, now: Millis, e: &Error) {
         log::debug!(service = &*self.service; "{e}");
         self.call_sent_at = None;
-        self.next_call_at = now + CALL_RETRY_DELAY_MS;
+        let delay = match self.lease.held_revision() {
+            Some(_) => CALL_RETRY_DELAY_MS,
+            None => lease::failed_read_delay(self.failed_reads, self.rank()),
+        };
+        self.failed_reads += 1;
+        self.next_call_at = now + delay;
     }
 
     fn on_lease_read(&mut self, now: Millis, sent: Millis, row: Option<&Row>) {
         self.call_sent_at = None;
+        self.failed_reads = 0;
         // A row that cannot be decoded is treated as that of a holder that never renews it.
         let unreadable = LeaseRow { holder: Some("".into()), process: 0, write_number: 0 };
         let parsed = row.map(|r| (decode_row(&r.value).unwrap_or(unreadable), r.revision));
@@ -667,6 +701,9 @@
             self.node.pause_keys(&moving);
             gossip::broadcast(&self.node, &Message::Moving(moving));
         }
+        if self.planned_at == now {
+            self.announce_shares(now, &upstreams);
+        }
         let Some(coordinator) = &mut self.coordinator else {
             return;
         };
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -9,7 +9,12 @@
 //!
 //! Points in time are readings of the boot clock in milliseconds.
 
-use crate::{clock::Millis, collections::HashMap, keymap::Key};
+use crate::{
+    clock::Millis,
+    collections::HashMap,
+    keymap::Key,
+    overload::{AdmittedShares, OwnerShare},
+};
 use std::sync::Arc;
 
 /// Identifies a waiting request.
@@ -47,8 +52,12 @@
 const MAX_WAIT_SHARE: f64 = 0.9;
 /// Shortest `Retry-After` in milliseconds, before jitter.
 const MIN_RETRY_AFTER_MS: f64 = 150.0;
-/// Longest `Retry-After` in milliseconds, before jitter.
+/// Longest `Retry-After` in milliseconds, before jitter, unless [`MAX_RETRY_AFTER_SHARE`] allows
+/// more.
 const MAX_RETRY_AFTER_MS: f64 = 3_000.0;
+/// Longest `Retry-After` as a share of the time until the request's deadline, so that enough is left
+/// for the request itself.
+const MAX_RETRY_AFTER_SHARE: f64 = 0.3;
 /// `Retry-After` in milliseconds, before jitter, where no owner or no upstream is available.
 const UNAVAILABLE_RETRY_AFTER_MS: f64 = 600.0;
 /// Weight of one request in the moving average of the rejection rate.
@@ -87,6 +96,8 @@
     pub large_response: bool,
     /// Upstreams that were tried already.
     pub tried: Vec<Arc<str>>,
+    /// Whether it was admitted before, so that another attempt needs no share of its owner.
+    pub admitted: bool,
 }
 
 /// What is done with a request.
@@ -327,6 +338,8 @@
     /// Keys with the fence under which their owner refused them, and until when none of their
     /// requests is sent.
     refused_keys: HashMap<(Key, u64), Millis>,
+    /// Shares of the requests that overloaded owners can serve.
+    shares: AdmittedShares,
     next_ticket: Ticket,
 }
 
@@ -355,6 +368,12 @@
         self.upstreams.extend(removed);
     }
 
+    /// Takes over the shares of the requests that overloaded owners can serve, see
+    /// [`crate::overload`].
+    pub fn set_shares(&mut self, now: Millis, shares: Vec<OwnerShare>) {
+        self.shares.set(now, shares);
+    }
+
     /// Returns the numbers of requests in flight and waiting.
     #[must_use]
     pub fn request_counts(&self) -> (u32, usize) {
@@ -371,6 +390,12 @@
         if let Some(reason) = self.rejection_reason(now, &req) {
             return Ok(self.reject(now, &req, reason));
         }
+        if let Destination::Owner(id, _) = &req.destination
+            && !req.admitted
+            && !self.shares.admits(now, id)
+        {
+            return Ok(self.reject(now, &req, Rejection::Overload));
+        }
         let ahead = self.requests_ahead(now, &req);
         if ahead == 0
             && let Some(id) = self.choose_upstream(now, &req)
@@ -493,16 +518,23 @@
             Rejection::Overload => {
                 // The more requests are rejected, the longer until one is likely to be accepted.
                 let served = 1.0 - self.update_rejection_rate(&req.destination, true);
+                let served = match &req.destination {
+                    Destination::Owner(id, _) => served.min(self.shares.share(now, id)),
+                    _ => served,
+                };
                 let wait = self.expected_wait(now, req, self.requests_ahead(now, req));
                 wait / served.max(MIN_SERVED_SHARE)
             }
             Rejection::NoUpstream | Rejection::NoOwner => UNAVAILABLE_RETRY_AFTER_MS,
         };
+        #[expect(clippy::cast_precision_loss, reason = "short spans")]
+        let time_left = req.deadline.saturating_sub(now) as f64;
+        let max = MAX_RETRY_AFTER_MS.max(time_left * MAX_RETRY_AFTER_SHARE);
         // Jitter in proportion to the time, so that callers rejected together do not come back
         // together.
         let jitter = rand::random_range(0.75..1.5);
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "positive")]
-        let retry_after = (wait.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS) * jitter) as Millis;
+        let retry_after = (wait.clamp(MIN_RETRY_AFTER_MS, max) * jitter) as Millis;
         Decision::Reject { reason, retry_after }
     }
 
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -21,7 +21,8 @@
     http,
     keymap::KeyRange,
     node::Node,
-    shared_state::{Digest, PeerInfo, StateEntry},
+    overload::OwnerShare,
+    shared_state::{Digest, EntryKind, PeerInfo, StateEntry},
     traffic::TrafficReport,
 };
 use futures::{SinkExt, StreamExt};
@@ -83,6 +84,9 @@
     Push { entries: Vec<StateEntry> },
     /// Keys that are about to be released.
     Moving(MovingKeys),
+    /// Shares of the requests that a service's overloaded owners can serve; `relayed` tells that
+    /// the receiver does not pass them on.
+    Shares { service: Arc<str>, shares: Vec<OwnerShare>, relayed: bool },
     /// Traffic of a keyed service, for its coordinator; `None` only asks for the reply.
     #[serde(rename = "Heat")]
     Traffic { service: Arc<str>, report: Option<TrafficReport> },
@@ -112,9 +116,12 @@
 }
 
 /// Returns whether an instance of the same data centre comes before this one by name, and so may
-/// become its relay.
+/// become its relay, or the instances are not known yet.
 pub(crate) fn has_relay_candidate(node: &Node) -> bool {
     let shared_state = node.shared_state.borrow();
+    if shared_state.digest()[EntryKind::Instance as usize] == 0 {
+        return true;
+    }
     let same_data_center = |p: &PeerInfo| p.data_center == node.cfg.data_center;
     shared_state.instances().any(|(name, p)| same_data_center(p) && *name < node.cfg.name)
 }
@@ -226,7 +233,11 @@
     if want_same_data_center && before > 0 {
         names.truncate(before);
     }
-    let n = usize::try_from(round).unwrap_or(0).checked_rem(names.len())?;
+    if want_same_data_center && round.is_multiple_of(2) {
+        // The first is the relay, unless it cannot reach the store.
+        return names.first().cloned();
+    }
+    let n = usize::try_from(round / 2).unwrap_or(0).checked_rem(names.len())?;
     // In other data centres, instances start at different positions, so that they do not all send
     // to the same one.
     let offset = if want_same_data_center { 0 } else { before };
@@ -425,6 +436,13 @@
             }
             Vec::new()
         }
+        Message::Shares { service, shares, relayed } => {
+            node.set_shares(&service, shares.clone());
+            if !relayed {
+                send_to_dependents(node, &Message::Shares { service, shares, relayed: true });
+            }
+            Vec::new()
+        }
         Message::Traffic { service, report } => {
             let acting = coordinator_task::on_traffic_report(node, &service, report);
             vec![Message::CoordinatorStatus { service, acting }]
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -22,6 +22,13 @@
 /// Shortest time in milliseconds between two reads of the row by one instance.
 pub const MIN_READ_INTERVAL_MS: Millis = 300;
 
+/// Time in milliseconds until the first repetition of a read that failed.
+const MIN_RETRY_DELAY_MS: Millis = 120;
+/// Factor, by an instance's rank, on the longest time between reads that fail.
+const RETRY_DELAY_PER_RANK_MS: Millis = 100;
+/// Longest time in milliseconds between reads that fail.
+const MAX_RETRY_DELAY_MS: Millis = 5_000;
+
 /// Content of the lease's row.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRow {
@@ -34,6 +41,18 @@
     pub write_number: u64,
 }
 
+/// Returns the delay in milliseconds until a read that failed is repeated, after `failed` earlier
+/// failures in a row, by the instance's rank among all that may take the lease.
+///
+/// Answers an outage of the store, in which no coordinator can renew its lease, so that all
+/// instances read it: those of low rank notice the end at once, and the number of calls hardly
+/// grows with that of instances.
+#[must_use]
+pub fn failed_read_delay(failed: u32, rank: u64) -> Millis {
+    let longest = MIN_READ_INTERVAL_MS + rank * RETRY_DELAY_PER_RANK_MS;
+    (MIN_RETRY_DELAY_MS << failed.min(6)).min(longest).min(MAX_RETRY_DELAY_MS)
+}
+
 /// One instance's state of a service's lease.
 #[derive(Debug, Clone)]
 pub struct Lease {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -64,6 +64,7 @@
 //! - [`coordinator`] decides which owner is granted which keys ([`controller`]).
 //! - [`coordinator_task`] runs a coordinator (`cell_driver`).
 //! - [`rebalance`] plans the owners of keys ([`placement`]) by the [`traffic`].
+//! - [`overload`] limits the requests for owners that are asked for more than they can serve.
 //!
 //! # Both
 //!
@@ -115,6 +116,7 @@
 pub mod membership;
 pub mod node;
 pub mod outcome;
+pub mod overload;
 mod peer;
 mod peer_connections;
 mod peer_server;
--- a/src/node.rs
+++ b/src/node.rs
@@ -12,6 +12,7 @@
     gossip::{self, MovingKeys},
     keymap::{Key, KeyMap, KeyRange},
     listeners,
+    overload::OwnerShare,
     pool::{Options, Pool},
     retry_budget::RetryBudget,
     routing_config::{RoutingConfig, Rule, UpstreamInfo},
@@ -44,7 +45,7 @@
 const MAX_PAUSE_MS: Millis = 700;
 /// Time in milliseconds after its start in which an instance waits for a relay (see [`gossip`])
 /// instead of following the store: a few rounds of digests.
-const RELAY_WAIT_MS: Millis = 1_500;
+const RELAY_WAIT_MS: Millis = 2_000;
 /// Time until the row with this instance's address is written again after a failure.
 const PUBLISH_RETRY_DELAY: Duration = Duration::from_millis(700);
 /// Maximum number of connections from this instance to one upstream: twice the largest in-flight
@@ -343,6 +344,13 @@
         !new_ranges.is_empty()
     }
 
+    /// Takes over the shares of the requests that a service's overloaded owners can serve.
+    pub(crate) fn set_shares(&self, service: &str, shares: Vec<OwnerShare>) {
+        if let Some(state) = self.services.borrow_mut().get_mut(service) {
+            state.dispatcher.set_shares(boot_millis(), shares);
+        }
+    }
+
     /// Changes the shared state; if `change` returns `true`, updates the services and passes the
     /// changes on.
     pub fn update_shared_state(
@@ -397,6 +405,16 @@
         self.shared_state.borrow().routing_config().cloned()
     }
 
+    /// Returns the number of instances of the same data centre that come before this one by name.
+    #[must_use]
+    pub fn instances_before(&self) -> usize {
+        let shared_state = self.shared_state.borrow();
+        let comes_before = |(name, p): &(&Arc<str>, &PeerInfo)| {
+            p.data_center == self.cfg.data_center && **name < self.cfg.name
+        };
+        shared_state.instances().filter(comes_before).count()
+    }
+
     /// Returns the number of known instances, this one included.
     fn instance_count(&self) -> usize {
         self.shared_state.borrow().instances().count().max(1)
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -28,7 +28,7 @@
 /// connections may have been closed together.
 const MAX_RESENDS: u32 = 3;
 /// Longest response body that [`call`] reads, in bytes.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
 /// Connections to many servers, with a limit for each server.
 #[derive(Debug)]
--- a/src/rebalance.rs
+++ b/src/rebalance.rs
@@ -65,6 +65,18 @@
     }
 }
 
+/// Returns the mean response time in milliseconds that capacities are based on.
+pub(crate) fn mean_response_time(traffic: &TrafficStats) -> f64 {
+    traffic.mean_response_time().unwrap_or(DEFAULT_RESPONSE_MS)
+}
+
+/// Returns the requests per second that an upstream can serve, where `mean_time` is
+/// [`mean_response_time`].
+pub(crate) fn capacity(u: &UpstreamInfo, traffic: &TrafficStats, mean_time: f64) -> f64 {
+    let time = traffic.response_time(&u.id, mean_time).max(1.0);
+    f64::from(u.concurrency.max(1)) * 1_000.0 / time
+}
+
 fn owner_of(u: &UpstreamInfo) -> Owner {
     Owner { id: u.id.clone(), started: u.started }
 }
@@ -118,13 +130,12 @@
     upstreams: &[Arc<UpstreamInfo>],
     traffic: &TrafficStats,
 ) -> Vec<Candidate> {
-    let mean_time = traffic.mean_response_time().unwrap_or(DEFAULT_RESPONSE_MS);
+    let mean_time = mean_response_time(traffic);
     let mut found: Vec<Candidate> = upstreams
         .iter()
         .filter(|u| !u.leaving)
         .map(|u| {
-            let time = traffic.response_time(&u.id, mean_time).max(1.0);
-            let capacity = f64::from(u.concurrency.max(1)) * 1_000.0 / time;
+            let capacity = capacity(u, traffic, mean_time);
             Candidate { owner: owner_of(u), capacity, rate: 0.0, keys: 0.0 }
         })
         .collect();
--- a/src/request_handler.rs
+++ b/src/request_handler.rs
@@ -54,6 +54,8 @@
     tried: Vec<Arc<str>>,
     /// Attempts that the upstream refused because it does not own the key.
     owner_refusals: u32,
+    /// Whether an attempt was admitted.
+    admitted: bool,
 }
 
 /// A response made by this instance, not by an upstream.
@@ -150,6 +152,7 @@
         may_have_run: false,
         tried: Vec::new(),
         owner_refusals: 0,
+        admitted: false,
     })
 }
 
@@ -179,6 +182,7 @@
                 return Err(unserved_response(cx, reason.as_str(), retry_after));
             }
         };
+        cx.admitted = true;
         let in_flight = InFlightGuard {
             node: node.clone(),
             service: cx.service.clone(),
@@ -293,6 +297,9 @@
     let Some(state) = services.get_mut(&cx.service) else {
         return;
     };
+    if let (true, Some(load)) = (cx.key.is_some(), report.load) {
+        state.traffic.on_queue(upstream_id, load.waiting);
+    }
     match (report.completion, report.load) {
         (Completion::NotOwner, _) => {
             if let (Destination::Owner(owner, fence), Some(key)) =
@@ -359,6 +366,7 @@
         key: cx.key,
         large_response: cx.rule.large_responses,
         tried: cx.tried.clone(),
+        admitted: cx.admitted,
     }
 }
 
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -13,6 +13,9 @@
 
 /// Time constant in milliseconds of the average of rates: hot keys change within seconds.
 const RATE_WINDOW_MS: f64 = 2_000.0;
+/// The same for the average by which overloaded owners are found, which must show a hot key within
+/// a second.
+const RECENT_WINDOW_MS: f64 = 700.0;
 /// Number of responses with the service's mean time that count beside an upstream's own. Some take
 /// many times as long as others, and of some hundred upstreams, there is always one whose first
 /// requests are short.
@@ -32,6 +35,10 @@
     /// Responses of upstreams whose queue was empty: identity of the upstream, number of responses,
     /// sum of their times in milliseconds.
     pub times: Vec<(Arc<str>, u32, f64)>,
+    /// Responses of upstreams whose queue was not empty, or that were overloaded: identity of the
+    /// upstream, number of responses, sum of the queues. Other versions may not send it.
+    #[serde(default)]
+    pub queues: Vec<(Arc<str>, u32, u64)>,
 }
 
 /// Traffic counts of one service since the last report.
@@ -39,6 +46,7 @@
 pub struct TrafficCounter {
     requests: HashMap<Key, u32>,
     times: HashMap<Arc<str>, (u32, f64)>,
+    queues: HashMap<Arc<str>, (u32, u64)>,
 }
 
 impl TrafficCounter {
@@ -54,6 +62,13 @@
         entry.1 += took_ms;
     }
 
+    /// Counts a response of an upstream that reported this many waiting requests.
+    pub fn on_queue(&mut self, upstream: &Arc<str>, waiting: u32) {
+        let entry = self.queues.entry(upstream.clone()).or_default();
+        entry.0 += 1;
+        entry.1 += u64::from(waiting);
+    }
+
     /// Returns the counts and resets them; `None`, and no reset, if no request was counted.
     pub fn take(&mut self, service: &Arc<str>) -> Option<TrafficReport> {
         if self.requests.is_empty() {
@@ -65,7 +80,8 @@
             requests = requests.chunks(2).map(|c| (c[0].0, c.iter().map(|r| r.1).sum())).collect();
         }
         let times = self.times.drain().map(|(id, (n, sum))| (id, n, sum)).collect();
-        Some(TrafficReport { service: service.clone(), requests, times })
+        let queues = self.queues.drain().map(|(id, (n, sum))| (id, n, sum)).collect();
+        Some(TrafficReport { service: service.clone(), requests, times, queues })
     }
 }
 
@@ -74,6 +90,8 @@
 #[derive(Debug)]
 pub struct TrafficStats {
     rates: Vec<f32>,
+    /// The same over a shorter time.
+    recent_rates: Vec<f32>,
     decayed_at: Millis,
     times: HashMap<Arc<str>, ResponseTimes>,
 }
@@ -100,7 +118,9 @@
     /// Creates statistics without traffic.
     #[must_use]
     pub fn new(now: Millis) -> Self {
-        Self { rates: vec![0.0; KEY_COUNT as usize], decayed_at: now, times: HashMap::default() }
+        let no_rates = vec![0.0; KEY_COUNT as usize];
+        let recent_rates = no_rates.clone();
+        Self { rates: no_rates, recent_rates, decayed_at: now, times: HashMap::default() }
     }
 
     /// Reduces the weight of older requests in the rates.
@@ -109,18 +129,22 @@
         let elapsed_ms = now.saturating_sub(self.decayed_at) as f64;
         self.decayed_at = now;
         #[expect(clippy::cast_possible_truncation, reason = "a factor below 1")]
-        let factor = (-elapsed_ms / RATE_WINDOW_MS).exp() as f32;
-        self.rates.iter_mut().for_each(|r| *r *= factor);
+        let factor = |window_ms: f64| (-elapsed_ms / window_ms).exp() as f32;
+        let (long, recent) = (factor(RATE_WINDOW_MS), factor(RECENT_WINDOW_MS));
+        self.rates.iter_mut().for_each(|r| *r *= long);
+        self.recent_rates.iter_mut().for_each(|r| *r *= recent);
     }
 
     /// Adds a report's counts.
     pub fn add_report(&mut self, report: &TrafficReport) {
         #[expect(clippy::cast_possible_truncation, reason = "a small constant")]
-        let per_request = (1_000.0 / RATE_WINDOW_MS) as f32;
+        let per_request = |window_ms: f64| (1_000.0 / window_ms) as f32;
+        let (long, recent) = (per_request(RATE_WINDOW_MS), per_request(RECENT_WINDOW_MS));
         for (key, n) in &report.requests {
             #[expect(clippy::cast_precision_loss, reason = "small counts")]
             let n = *n as f32;
-            self.rates[usize::from(*key)] += n * per_request;
+            self.rates[usize::from(*key)] += n * long;
+            self.recent_rates[usize::from(*key)] += n * recent;
         }
         for (id, n, sum) in &report.times {
             if *n == 0 {
@@ -143,6 +167,13 @@
         range_rates.iter().map(|r| f64::from(*r)).sum()
     }
 
+    /// Returns the requests per second for a range over the last second or so.
+    #[must_use]
+    pub fn recent_rate(&self, range: &KeyRange) -> f64 {
+        let range_rates = &self.recent_rates[usize::from(range.from)..=usize::from(range.to)];
+        range_rates.iter().map(|r| f64::from(*r)).sum()
+    }
+
     /// Returns the mean response time of all upstreams in milliseconds.
     #[must_use]
     pub fn mean_response_time(&self) -> Option<f64> {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -27,6 +27,7 @@
         key: None,
         large_response: false,
         tried: Vec::new(),
+        admitted: false,
     }
 }
 
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -2,7 +2,7 @@
 //! measure durations.
 
 use mulberryspur::lease::{
-    Lease, LeaseRow, MIN_READ_INTERVAL_MS, RENEW_INTERVAL_MS, TAKEOVER_WAIT_MS, VALIDITY_MS,
+    self, Lease, LeaseRow, MIN_READ_INTERVAL_MS, RENEW_INTERVAL_MS, TAKEOVER_WAIT_MS, VALIDITY_MS,
 };
 use proptest::prelude::*;
 
@@ -175,3 +175,20 @@
     let latest = TAKEOVER_WAIT_MS + MIN_READ_INTERVAL_MS;
     assert!(taken_at.is_some_and(|t| t <= latest), "{taken_at:?}");
 }
+
+/// Hundreds of instances read the lease while the store is away for eight seconds: a tenth of the
+/// calls that reads every 300 ms would make, and some instance still tries three times a second.
+#[test]
+fn failed_reads_hardly_grow_with_instances() {
+    let calls = |rank: u64| {
+        let (mut at, mut failed) = (0, 0);
+        while at < 8_000 {
+            at += lease::failed_read_delay(failed, rank);
+            failed += 1;
+        }
+        failed
+    };
+    let total: u32 = (0..195).map(calls).sum();
+    assert!(total <= 195 * 8_000 / 300 / 4, "{total} calls");
+    assert!(calls(0) >= 24, "{} calls", calls(0));
+}
--- a/tests/rebalance.rs
+++ b/tests/rebalance.rs
@@ -57,7 +57,12 @@
         let key = from + u16::try_from(rank * 37 % usize::from(keys)).unwrap();
         requests.push((key, rounded(2.0 * hot_rate * w / sum)));
     }
-    traffic.add_report(&TrafficReport { service: "foldbook".into(), requests, times: Vec::new() });
+    traffic.add_report(&TrafficReport {
+        service: "foldbook".into(),
+        requests,
+        times: Vec::new(),
+        queues: Vec::new(),
+    });
     traffic
 }
 
@@ -119,7 +124,12 @@
     let times =
         times.map(|(n, u)| (u.id.clone(), 100, if n % 3 == 2 { 7_500.0 } else { 17_000.0 }));
     let times = times.collect();
-    traffic.add_report(&TrafficReport { service: "foldbook".into(), requests: Vec::new(), times });
+    traffic.add_report(&TrafficReport {
+        service: "foldbook".into(),
+        requests: Vec::new(),
+        times,
+        queues: Vec::new(),
+    });
     for _ in 0..10 {
         apply_plan(&mut map, &upstreams, &traffic);
     }
@@ -151,7 +161,12 @@
         (u.id.clone(), 1, ms)
     });
     let times = times.collect();
-    traffic.add_report(&TrafficReport { service: "foldbook".into(), requests: Vec::new(), times });
+    traffic.add_report(&TrafficReport {
+        service: "foldbook".into(),
+        requests: Vec::new(),
+        times,
+        queues: Vec::new(),
+    });
     for _ in 0..20 {
         apply_plan(&mut map, &upstreams, &traffic);
     }
