--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -124,6 +124,8 @@
     coordinator: Option<Coordinator>,
     traffic: TrafficStats,
     overload: OverloadMonitor,
+    /// The owners whose shares were announced last.
+    overloaded_owners: Vec<Arc<str>>,
     addresses: HashMap<Owner, SocketAddr>,
     /// When the pending call to the store was sent.
     call_sent_at: Option<Millis>,
@@ -181,6 +183,7 @@
         coordinator: None,
         traffic: TrafficStats::new(now),
         overload: OverloadMonitor::default(),
+        overloaded_owners: Vec::new(),
         addresses: HashMap::default(),
         call_sent_at: None,
         uncertain_commit: None,
@@ -360,7 +363,16 @@
         let Some(shares) = self.overload.update(now, owners, upstreams, &self.traffic) else {
             return;
         };
-        log::debug!(service = &*self.service, owners = shares.len(); "shares of overloaded owners");
+        let mut names: Vec<Arc<str>> = shares.iter().map(|(id, _)| id.clone()).collect();
+        names.sort();
+        if names != self.overloaded_owners {
+            let lowest = shares.iter().map(|(_, share)| *share).fold(1.0, f64::min);
+            log::info!(
+                service = &*self.service, count = names.len(), owners = names.join(","), lowest;
+                "overloaded owners changed"
+            );
+            self.overloaded_owners = names;
+        }
         self.node.set_shares(&self.service, shares.clone());
         let message = Message::Shares { service: self.service.clone(), shares, relayed: false };
         gossip::broadcast(&self.node, &message);
