--- a/src/logging.rs
+++ b/src/logging.rs
@@ -10,8 +10,6 @@
     layout::JsonLayout,
 };
 
-const MAX_BUFFERED_LINES: usize = 65_536;
-
 impl LogLevel {
     fn level_filter(self) -> log::LevelFilter {
         match self {
@@ -24,18 +22,19 @@
     }
 }
 
-/// Starts logging at `level`; if the buffer is full, lines are dropped so as not to delay requests.
+/// Starts logging at `level`, with a buffer for `max_buffered_lines`, whose 40 bytes per line are
+/// taken at once; if it is full, lines are dropped so as not to delay requests.
 ///
 /// # Errors
 ///
 /// Fails if the process has a logger already.
-pub fn start(level: LogLevel) -> Result<()> {
+pub fn start(level: LogLevel, max_buffered_lines: usize) -> Result<()> {
     let max = level.level_filter();
     // tarpc logs each call at info, the level of this program's own changes of state.
     let filter = RustLogFilterBuilder::from_spec(format!("{max},tarpc=warn").as_str()).build();
     let stdout = Stdout::default().with_layout(JsonLayout::default());
     let append = AsyncBuilder::new("log")
-        .buffered_lines_limit(Some(MAX_BUFFERED_LINES))
+        .buffered_lines_limit(Some(max_buffered_lines))
         .overflow_drop_incoming()
         .append(stdout)
         .build();
--- a/src/overload.rs
+++ b/src/overload.rs
@@ -15,12 +15,12 @@
 use std::sync::Arc;
 
 /// Requests per second as a multiple of the capacity from which an owner counts as overloaded.
-const OVERLOAD_START: f64 = 1.35;
+const OVERLOAD_START: f64 = 1.5;
 /// The same multiple below which it no longer does.
-const OVERLOAD_END: f64 = 1.1;
+const OVERLOAD_END: f64 = 1.25;
 /// Requests per second that are admitted as a multiple of the capacity: the owner must not become
 /// idle while few requests come, and its queue takes some more.
-const ADMITTED_LOAD: f64 = 1.1;
+const ADMITTED_LOAD: f64 = 1.25;
 /// Mean queue of an overloaded owner, as a multiple of its concurrency, below which more requests
 /// are admitted.
 const SHORT_QUEUE: f64 = 0.5;
