Reject requests for lost owners at once

Change: requests for a key wait for a new owner only while its owner has been unusable for less than 0.7 s, and not for one that could not be reached twice in a row; the time to return is longer then.

Open: the keys are dark that long because each takeover waits for 10 s of its predecessor's grants anew.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -64,6 +64,10 @@
 const MAX_RETRY_AFTER_SHARE: f64 = 0.3;
 /// `Retry-After` in milliseconds, before jitter, where no owner or no upstream is available.
 const UNAVAILABLE_RETRY_AFTER_MS: f64 = 600.0;
+/// `Retry-After` in milliseconds, before jitter, where the owner is lost.
+const OWNER_LOST_RETRY_AFTER_MS: f64 = 1_200.0;
+/// Number of ejections in a row after which no request waits for the owner of its key.
+const UNREACHABLE_EJECTIONS: u32 = 2;
 /// Weight of one request in the moving average of the rejection rate.
 const REJECTION_RATE_WEIGHT: f64 = 0.05;
 /// Least share of requests that is assumed to be served, which bounds `Retry-After`.
@@ -78,6 +82,9 @@
     Owner(Arc<str>, u64),
     /// Nowhere for now: no usable owner of its key is known.
     NoOwner,
+    /// Nowhere for seconds: its key's owner has been lost for some time, and the key is free for
+    /// another one only once the owner's grants have expired.
+    OwnerLost,
 }
 
 /// The attributes of a request that decide its order and its upstream.
@@ -514,7 +521,7 @@
                 None => return 0.0,
             },
             Destination::Any => &mut self.rejection_rate,
-            Destination::NoOwner => return 0.0,
+            Destination::NoOwner | Destination::OwnerLost => return 0.0,
         };
         let sample = if rejected { 1.0 } else { 0.0 };
         *rejection_rate += REJECTION_RATE_WEIGHT * (sample - *rejection_rate);
@@ -542,6 +549,9 @@
                 let wait = self.expected_wait(now, req, self.requests_ahead(now, req));
                 wait / served.max(MIN_SERVED_SHARE)
             }
+            Rejection::NoOwner if req.destination == Destination::OwnerLost => {
+                OWNER_LOST_RETRY_AFTER_MS
+            }
             Rejection::NoUpstream | Rejection::NoOwner => UNAVAILABLE_RETRY_AFTER_MS,
         };
         #[expect(clippy::cast_precision_loss, reason = "short spans")]
@@ -560,14 +570,15 @@
         match &req.destination {
             Destination::NoOwner if now >= wait_deadline(req) => Some(Rejection::NoOwner),
             Destination::NoOwner => None,
+            Destination::OwnerLost => Some(Rejection::NoOwner),
             Destination::Owner(id, _) => {
-                let owner = self.upstreams.get(id);
-                let unreachable = owner.is_some_and(|u| u.is_ejected(now));
-                // A request waits for an unreachable owner until half of the shortest ejection has
-                // passed since its arrival.
+                let owner = self.upstreams.get(id).filter(|u| u.is_ejected(now))?;
+                // A request waits for an owner that has just become unreachable until half of the
+                // shortest ejection has passed since its arrival.
                 let has_waited =
                     now >= req.arrived_at + BASE_EJECTION_MS / 2 || req.tried.contains(id);
-                (unreachable && has_waited).then_some(Rejection::NoOwner)
+                let is_lost = owner.ejections >= UNREACHABLE_EJECTIONS;
+                (has_waited || is_lost).then_some(Rejection::NoOwner)
             }
             Destination::Any => {
                 let untried = |u: &Upstream| !u.spec.leaving && !req.tried.contains(&u.spec.id);
@@ -616,14 +627,14 @@
                     available.map(|u| u.window.max(MIN_WINDOW) / u.response_time.max(1.0)).sum();
                 if throughput > 0.0 { position / throughput } else { UNAVAILABLE_RETRY_AFTER_MS }
             }
-            Destination::NoOwner => UNAVAILABLE_RETRY_AFTER_MS,
+            Destination::NoOwner | Destination::OwnerLost => UNAVAILABLE_RETRY_AFTER_MS,
         }
     }
 
     /// Returns the upstream that should get the request now, if one has capacity.
     fn choose_upstream(&self, now: Millis, req: &RequestSpec) -> Option<Arc<str>> {
         match &req.destination {
-            Destination::NoOwner => None,
+            Destination::NoOwner | Destination::OwnerLost => None,
             Destination::Owner(id, _) => {
                 let u = self.upstreams.get(id)?;
                 let available = !u.spec.leaving && !u.is_ejected(now) && u.has_capacity();
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,7 +10,7 @@
     error::Result,
     exporter,
     gossip::{self, MovingKeys},
-    keymap::{Key, KeyMap, KeyRange},
+    keymap::{Key, KeyMap, KeyRange, Owner},
     listeners,
     overload::OwnerShare,
     pool::{Options, Pool},
@@ -43,6 +43,9 @@
 /// Maximum time in milliseconds for which requests wait for a move of their key: nine in ten
 /// requests that run at the old owner end within it.
 const MAX_PAUSE_MS: Millis = 700;
+/// Time in milliseconds for which requests wait for keys whose owner has become unusable: one that
+/// leaves is replaced within it, one that is lost only once its grants have expired.
+const OWNER_PATIENCE_MS: Millis = 700;
 /// Time in milliseconds after its start in which an instance waits for a relay (see [`gossip`])
 /// instead of following the store: a few rounds of digests.
 const RELAY_WAIT_MS: Millis = 2_000;
@@ -112,6 +115,8 @@
     pub keyed: bool,
     /// Committed owners and their revision.
     pub owners: Option<(Arc<KeyMap>, u64)>,
+    /// Owners of keys that cannot be used, and since when.
+    unusable_owners: HashMap<Owner, Millis>,
     /// Keys that are about to move, whose requests wait: range, until when, revision of the owners
     /// in force when the move began.
     paused: Vec<(KeyRange, Millis, u64)>,
@@ -131,17 +136,34 @@
     /// Returns the owner of a key if that incarnation of the upstream is known and not leaving, and
     /// the key is not paused.
     fn owner_destination(&self, key: Key) -> Destination {
-        let (owners, upstreams) = (self.owners.as_ref(), &self.upstreams);
-        let span = owners.and_then(|(map, _)| map.find(key));
-        let usable = span.filter(|s| {
-            let upstream = upstreams.get(&s.owner.id);
-            upstream.is_some_and(|u| u.is_incarnation(&s.owner.id, s.owner.started) && !u.leaving)
-        });
-        let paused = self.paused.iter().any(|(range, ..)| range.contains(key));
-        match usable.filter(|_| !paused) {
-            Some(s) => Destination::Owner(s.owner.id.clone(), s.fence),
-            None => Destination::NoOwner,
+        let Some(span) = self.owners.as_ref().and_then(|(map, _)| map.find(key)) else {
+            return Destination::NoOwner;
+        };
+        if !self.is_usable(&span.owner) {
+            let since = self.unusable_owners.get(&span.owner);
+            let lost = since.is_some_and(|t| boot_millis() >= t + OWNER_PATIENCE_MS);
+            return if lost { Destination::OwnerLost } else { Destination::NoOwner };
+        }
+        if self.paused.iter().any(|(range, ..)| range.contains(key)) {
+            return Destination::NoOwner;
         }
+        Destination::Owner(span.owner.id.clone(), span.fence)
+    }
+
+    fn is_usable(&self, owner: &Owner) -> bool {
+        let upstream = self.upstreams.get(&owner.id);
+        upstream.is_some_and(|u| u.is_incarnation(&owner.id, owner.started) && !u.leaving)
+    }
+
+    /// Notes since when owners of keys cannot be used.
+    fn update_unusable_owners(&mut self, now: Millis) {
+        let known = std::mem::take(&mut self.unusable_owners);
+        let Some((owners, _)) = &self.owners else {
+            return;
+        };
+        let unusable = owners.spans.iter().map(|s| &s.owner).filter(|o| !self.is_usable(o));
+        self.unusable_owners =
+            unusable.map(|o| (o.clone(), known.get(o).copied().unwrap_or(now))).collect();
     }
 
     /// Updates the destinations of the waiting requests that have a key.
@@ -459,6 +481,7 @@
                 upstreams: HashMap::default(),
                 keyed: spec.keyed,
                 owners: None,
+                unusable_owners: HashMap::default(),
                 paused: Vec::new(),
                 waiters: HashMap::default(),
             });
@@ -474,6 +497,7 @@
             if owners.map(|(_, r)| r) != state.owners.as_ref().map(|(_, r)| *r) {
                 state.owners = owners.map(|(map, r)| (map.clone(), r));
             }
+            state.update_unusable_owners(now);
             let same_data_center = |u: &UpstreamInfo| u.data_center == self.cfg.data_center;
             state.dispatcher.set_upstreams(state.upstreams.values().map(|u| UpstreamSpec {
                 id: u.id.clone(),
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -215,6 +215,28 @@
     assert!(matches!(decision, Ok(Decision::Reject { reason: r, .. }) if r == reason));
 }
 
+/// Keys of owners that were lost some time ago, and of one that has not been reached twice in a row:
+/// a cut takes a third of them for many seconds. None of their requests waits.
+#[test]
+fn request_for_a_lost_owner_is_rejected_at_once() {
+    let mut d = Dispatcher::default();
+    d.set_upstreams([spec(0, true)]);
+    let decision = d.submit(0, request(0, 1, Destination::OwnerLost));
+    let Ok(Decision::Reject { reason: Rejection::NoOwner, retry_after }) = decision else {
+        panic!("{decision:?}");
+    };
+    assert!((900..=1_800).contains(&retry_after), "{retry_after} ms");
+    assert!(d.submit(0, request(0, 1, Destination::NoOwner)).is_err(), "waits for its owner");
+    // Ejected for 300 and then for 600 ms.
+    for now in [0, 400] {
+        assert!(sent_to(&d.submit(now, request(now, 1, owner()))).is_some());
+        d.on_completion(now, &"u0".into(), Completion::Unreachable, None);
+    }
+    let decision = d.submit(500, request(500, 1, owner()));
+    let reason = Rejection::NoOwner;
+    assert!(matches!(decision, Ok(Decision::Reject { reason: r, .. }) if r == reason));
+}
+
 /// An upstream that refuses its requests gets less than a tenth of all.
 #[test]
 fn failing_upstream_gets_less() {
