--- a/src/lease.rs
+++ b/src/lease.rs
@@ -22,8 +22,10 @@
 /// Shortest time in milliseconds between two reads of the row by one instance.
 pub const MIN_READ_INTERVAL_MS: Millis = 300;
 
-/// Time in milliseconds until the first repetition of a read that failed.
+/// Least time in milliseconds until the first repetition of a read that failed.
 const MIN_RETRY_DELAY_MS: Millis = 120;
+/// Time until the first repetition as a part of the longest time between reads that fail.
+const FIRST_DELAY_DIVISOR: Millis = 4;
 /// Factor, by an instance's rank, on the longest time between reads that fail.
 const RETRY_DELAY_PER_RANK_MS: Millis = 100;
 /// Longest time in milliseconds between reads that fail.
@@ -49,8 +51,9 @@
 /// grows with that of instances.
 #[must_use]
 pub fn failed_read_delay(failed: u32, rank: u64) -> Millis {
-    let longest = MIN_READ_INTERVAL_MS + rank * RETRY_DELAY_PER_RANK_MS;
-    (MIN_RETRY_DELAY_MS << failed.min(6)).min(longest).min(MAX_RETRY_DELAY_MS)
+    let longest = (MIN_READ_INTERVAL_MS + rank * RETRY_DELAY_PER_RANK_MS).min(MAX_RETRY_DELAY_MS);
+    let first = MIN_RETRY_DELAY_MS.max(longest / FIRST_DELAY_DIVISOR);
+    (first << failed.min(6)).min(longest)
 }
 
 /// One instance's state of a service's lease.
