--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -215,7 +215,7 @@
     next_order_id: OrderId,
 }
 
-/// Returns how long a grant lasts at most from its arrival, by a clock that is right.
+/// Returns how long a grant lasts from its arrival at most, if the upstream's clock is the slowest.
 fn max_hold(hold: Millis) -> Millis {
     hold + hold * MAX_CLOCK_DRIFT_PER_MILLE / 1_000
 }
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -26,7 +26,7 @@
 const MIN_RETRY_DELAY_MS: Millis = 120;
 /// Time until the first repetition as a part of the longest time between reads that fail.
 const FIRST_DELAY_DIVISOR: Millis = 4;
-/// Factor, by an instance's rank, on the longest time between reads that fail.
+/// Time in milliseconds by which the longest time between reads that fail grows with each rank.
 const RETRY_DELAY_PER_RANK_MS: Millis = 100;
 /// Longest time in milliseconds between reads that fail.
 const MAX_RETRY_DELAY_MS: Millis = 5_000;
