Log what an instance learns about upstreams

The logs could not tell the hypotheses about requests at an upstream that had left apart: nothing said when an instance learned of a removal, and what it made of it. Now one line per upstream that is new, leaves or is removed, and one when the entry of an upstream counts as lapsed, with how long it is kept.

--- a/src/node.rs
+++ b/src/node.rs
@@ -219,6 +219,26 @@
     }
 }
 
+/// Logs which upstreams are new, leave, or are no longer known.
+fn log_changed_upstreams(
+    old: &HashMap<Arc<str>, Arc<UpstreamInfo>>,
+    new: &HashMap<Arc<str>, Arc<UpstreamInfo>>,
+) {
+    let known = |u: &UpstreamInfo| old.get(&u.id).filter(|o| o.is_incarnation(&u.id, u.started));
+    for u in new.values() {
+        let was_leaving = known(u).map(|o| o.leaving);
+        if was_leaving != Some(u.leaving) {
+            log::info!(
+                upstream = &*u.id, service = &*u.service, started = u.started, leaving = u.leaving;
+                "upstream changed"
+            );
+        }
+    }
+    for u in old.values().filter(|u| !new.contains_key(&u.id)) {
+        log::info!(upstream = &*u.id, service = &*u.service; "upstream removed");
+    }
+}
+
 /// Returns the number of connections to one upstream that each instance may open.
 fn connection_share(connections: usize, instances: f64) -> u32 {
     #[expect(clippy::cast_precision_loss, reason = "small numbers")]
@@ -379,8 +399,13 @@
         self: &Rc<Self>,
         change: impl FnOnce(&mut SharedState, Millis) -> bool,
     ) {
-        let changed = change(&mut self.shared_state.borrow_mut(), boot_millis());
+        let now = boot_millis();
+        let changed = change(&mut self.shared_state.borrow_mut(), now);
         if changed {
+            for (upstream, until) in self.shared_state.borrow_mut().take_new_lapses() {
+                let kept_ms = until.saturating_sub(now);
+                log::info!(upstream = &*upstream, kept_ms; "entry of an upstream lapsed");
+            }
             self.refresh_services();
             let entries = self.shared_state.borrow_mut().take_changes();
             gossip::push_changes(self, &entries);
@@ -488,11 +513,13 @@
             state.keyed = spec.keyed;
             // The reserve is divided among all known instances, whose number changes.
             state.budget.set_limits(&budget);
-            state.upstreams = shared_state
+            let upstreams = shared_state
                 .upstreams(now)
                 .filter(|u| u.service == spec.name)
                 .map(|u| (u.id.clone(), u.clone()))
                 .collect();
+            log_changed_upstreams(&state.upstreams, &upstreams);
+            state.upstreams = upstreams;
             let owners = shared_state.owners(&spec.name);
             if owners.map(|(_, r)| r) != state.owners.as_ref().map(|(_, r)| *r) {
                 state.owners = owners.map(|(map, r)| (map.clone(), r));
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -106,6 +106,8 @@
     digest: Digest,
     /// Upstreams whose entries have lapsed, and until when they are kept.
     lapsed: HashMap<Arc<str>, (Arc<UpstreamInfo>, Millis)>,
+    /// The same upstreams, until [`Self::take_new_lapses`].
+    new_lapses: Vec<(Arc<str>, Millis)>,
     /// When a call to the store last failed.
     last_store_failure: Option<Millis>,
     /// The configuration in force.
@@ -160,6 +162,7 @@
         match (old, &new.value) {
             (Some(EntryValue::Upstream(u)), None) if store_failed_recently && !u.leaving => {
                 let until = self.last_store_failure.unwrap_or(now).max(now) + LAPSE_GRACE_MS;
+                self.new_lapses.push((new.key.clone(), until));
                 self.lapsed.insert(new.key.clone(), (u, until));
             }
             _ => {
@@ -168,6 +171,12 @@
         }
     }
 
+    /// Returns the upstreams whose entries have lapsed since the last call, and until when they are
+    /// kept.
+    pub fn take_new_lapses(&mut self) -> Vec<(Arc<str>, Millis)> {
+        std::mem::take(&mut self.new_lapses)
+    }
+
     /// Records that a call to the store failed at `now`.
     pub fn on_store_failure(&mut self, now: Millis) {
         self.last_store_failure = Some(now);
