--- a/tests/shared_state.rs
+++ b/tests/shared_state.rs
@@ -87,6 +87,22 @@
     assert_eq!(upstream_ids(&state, 12_800), ["a"]);
 }
 
+/// A deletion after an outage may also be a planned removal. From three seconds after the outage
+/// on, an upstream must get no requests two seconds after its removal.
+#[test]
+fn removed_upstream_is_used_too_long_after_an_outage() {
+    for deleted_after in [100, 800, 1_100, 1_400, 2_000] {
+        let mut state = SharedState::default();
+        state.merge(0, [upstream("a", 1, false)]);
+        state.on_store_failure(10_000);
+        state.merge(10_000 + deleted_after, [deleted("a", 2)]);
+        let allowed_until = (10_000 + deleted_after + 2_000).max(13_000);
+        assert!(upstream_ids(&state, allowed_until).is_empty(), "deleted after {deleted_after} ms");
+        // Notices and polls take time.
+        assert!(upstream_ids(&state, 12_900).is_empty(), "deleted after {deleted_after} ms");
+    }
+}
+
 #[test]
 fn upstream_deleted_while_the_store_answers_is_dropped_at_once() {
     let mut state = SharedState::default();
