Count the grace of lapsed upstreams from the outage

Callers' requests reached upstreams up to 2,094 ms after their leaving had been accepted (2,000 ms allowed), in data centres that had been cut off from the store a second before. Cause: an upstream whose entry is deleted within 1.5 s of a failed call counted as lapsed and was kept for 2 s from when the deletion became known. A removal is known 5 to 300 ms after it was accepted, so a planned removal in that time was always obeyed too late.

A lapsed entry belongs to the outage, so the time for which the upstream is kept now counts from the outage: 2.6 s after the sending of the last call that failed. A call that waits for changes fails up to 3.2 s after it was sent; only its sending shows that the store may have been away.

Why it works: leave times bind an instance from 3 s after its trouble on, and by then no upstream is kept on suspicion; a removal later than that is obeyed at once.

--- a/src/node.rs
+++ b/src/node.rs
@@ -441,9 +441,9 @@
             && followed.values().all(|at| now < at + FOLLOW_TIMEOUT_MS)
     }
 
-    /// Records that a call to the store failed.
-    pub fn on_store_failure(&self) {
-        self.shared_state.borrow_mut().on_store_failure(boot_millis());
+    /// Records that a call to the store failed that was sent at `sent_at`.
+    pub fn on_store_failure(&self, sent_at: Millis) {
+        self.shared_state.borrow_mut().on_store_failure(sent_at);
     }
 
     /// Returns the configuration in force.
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -20,11 +20,10 @@
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, sync::Arc};
 
-/// Time in milliseconds for which an upstream whose entry has lapsed is kept, from when the
-/// deletion became known: the platform restores entries of live upstreams within two seconds.
-const LAPSE_GRACE_MS: Millis = 2_000;
-/// Time in milliseconds after a failed call to the store in which a deleted entry counts as lapsed.
-const LAPSE_WINDOW_MS: Millis = 1_500;
+/// Time in milliseconds after the last sign of an outage of the store until which a deleted entry
+/// may have lapsed in it: the store is tried again within 600 ms, and entries of live upstreams are
+/// restored within two seconds of its return.
+const LAPSE_GRACE_MS: Millis = 2_600;
 
 /// Kind of an entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -108,8 +107,8 @@
     lapsed: HashMap<Arc<str>, (Arc<UpstreamInfo>, Millis)>,
     /// The same upstreams, until [`Self::take_new_lapses`].
     new_lapses: Vec<(Arc<str>, Millis)>,
-    /// When a call to the store last failed.
-    last_store_failure: Option<Millis>,
+    /// The latest time at which the store is known not to have answered.
+    store_away_at: Option<Millis>,
     /// The configuration in force.
     routing_config: Option<Arc<RoutingConfig>>,
 }
@@ -156,12 +155,13 @@
 
     /// If an upstream's entry was deleted during an outage of the store or shortly after it, keeps
     /// the upstream for a while, unless it was leaving.
+    ///
+    /// The deletion may also be a planned removal, so that time counts from the outage and not from
+    /// when the deletion became known.
     fn track_lapse(&mut self, now: Millis, old: Option<EntryValue>, new: &StateEntry) {
-        let store_failed_recently =
-            self.last_store_failure.is_some_and(|t| now < t + LAPSE_WINDOW_MS);
+        let until = self.store_away_at.map_or(0, |t| t + LAPSE_GRACE_MS);
         match (old, &new.value) {
-            (Some(EntryValue::Upstream(u)), None) if store_failed_recently && !u.leaving => {
-                let until = self.last_store_failure.unwrap_or(now).max(now) + LAPSE_GRACE_MS;
+            (Some(EntryValue::Upstream(u)), None) if now < until && !u.leaving => {
                 self.new_lapses.push((new.key.clone(), until));
                 self.lapsed.insert(new.key.clone(), (u, until));
             }
@@ -177,9 +177,10 @@
         std::mem::take(&mut self.new_lapses)
     }
 
-    /// Records that a call to the store failed at `now`.
-    pub fn on_store_failure(&mut self, now: Millis) {
-        self.last_store_failure = Some(now);
+    /// Records that a call to the store failed that was sent at `sent_at`. A call that waits for
+    /// changes fails long after the store was last known to be away.
+    pub fn on_store_failure(&mut self, sent_at: Millis) {
+        self.store_away_at = self.store_away_at.max(Some(sent_at));
     }
 
     /// Replaces the entries of a kind by `entries`, which the store held at `revision`: those that
--- a/tests/shared_state.rs
+++ b/tests/shared_state.rs
@@ -103,6 +103,18 @@
     }
 }
 
+/// A call that waits for changes fails long after the last moment at which the store is known to
+/// have been away.
+#[test]
+fn call_that_fails_late_makes_removals_look_like_an_outage() {
+    let mut state = SharedState::default();
+    state.merge(0, [upstream("a", 1, false)]);
+    // Sent at 7,000 ms, failed at 10,200 ms.
+    state.on_store_failure(7_000);
+    state.merge(10_300, [deleted("a", 2)]);
+    assert!(upstream_ids(&state, 10_300).is_empty());
+}
+
 #[test]
 fn upstream_deleted_while_the_store_answers_is_dropped_at_once() {
     let mut state = SharedState::default();
