Keep the limits that upstreams name

Upstreams that named a limit on requests per second went on getting as many requests as before: 46 in four seconds at a limit of 3.5 (26 allowed). Cause: nothing read the limit, the first hypothesis.

Now each instance keeps it with a token bucket that has an equal share of the rate. Instances need not know what others send: with one token each and 0.95 of the limit, all of them together stay below one and a half times the limit and five requests as long as there are no more instances than two seconds of the limit and four; beyond that, tokens come in turn by the time of day, so that they are spread evenly. A request whose owner has no token in time is rejected at once with the time until it has one. A new incarnation of an upstream starts without the former's state.

Not covered: a limited upstream hardly used by each of very many instances can get more when demand comes at once.

--- a/src/adapter.rs
+++ b/src/adapter.rs
@@ -91,6 +91,9 @@
     pub not_run: HeaderName,
     /// Load of an upstream: running requests, waiting requests, requests that it runs at once.
     pub load: HeaderName,
+    /// Requests per second that an upstream in need takes from all instances together, for as long
+    /// as its responses have it.
+    pub rate_limit: HeaderName,
 }
 
 /// Everything that the router needs from the platform.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -14,6 +14,7 @@
     collections::HashMap,
     keymap::Key,
     overload::{AdmittedShares, OwnerShare},
+    rate_limit::{InstancePosition, LimitNotice, RateLimit},
 };
 use std::sync::Arc;
 
@@ -130,6 +131,8 @@
 pub enum Rejection {
     /// More requests are waiting than can be served in time.
     Overload,
+    /// No upstream that could take it may be sent it in time, by the limits that they have named.
+    UpstreamLimit,
     /// No upstream can take it.
     NoUpstream,
     /// Its key has no owner that can be reached.
@@ -142,6 +145,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Overload => "overload",
+            Self::UpstreamLimit => "upstream limit",
             Self::NoUpstream => "no-upstream",
             Self::NoOwner => "no-owner",
         }
@@ -153,6 +157,8 @@
 pub struct UpstreamSpec {
     /// Identity of the upstream.
     pub id: Arc<str>,
+    /// When its incarnation started, in Unix milliseconds by its own clock.
+    pub started: u64,
     /// Requests that it runs at once.
     pub concurrency: u32,
     /// Whether it runs in this instance's data centre.
@@ -214,6 +220,8 @@
     last_report: Option<(f64, f64, Millis)>,
     /// When the window was last reduced.
     window_cut_at: Millis,
+    /// The limit that it has named, if any.
+    rate_limit: Option<RateLimit>,
 }
 
 impl Upstream {
@@ -233,9 +241,26 @@
             avoided_until: 0,
             last_report: None,
             window_cut_at: 0,
+            rate_limit: None,
         }
     }
 
+    /// Returns whether one more request may be sent now.
+    fn can_take(&self, now: Millis) -> bool {
+        self.has_capacity() && !self.is_rate_limited(now)
+    }
+
+    /// Returns whether its limit forbids another request now.
+    fn is_rate_limited(&self, now: Millis) -> bool {
+        self.rate_limit.is_some_and(|l| !l.admits(now))
+    }
+
+    /// Returns the requests per millisecond that this instance can expect to have served.
+    fn throughput(&self) -> f64 {
+        let by_window = self.window.max(MIN_WINDOW) / self.response_time.max(1.0);
+        self.rate_limit.map_or(by_window, |l| l.rate().min(by_window))
+    }
+
     fn has_capacity(&self) -> bool {
         // Rounds the window to the nearest whole number of requests.
         f64::from(self.in_flight) + 1.0 <= self.window.max(MIN_WINDOW) + 0.5
@@ -364,6 +389,8 @@
     refused_keys: HashMap<(Key, u64), Millis>,
     /// Shares of the requests that overloaded owners can serve.
     shares: AdmittedShares,
+    /// Decides this instance's part of the limits that upstreams name.
+    position: InstancePosition,
     next_ticket: Ticket,
 }
 
@@ -372,13 +399,25 @@
 const KEY_REFUSAL_MS: Millis = 120;
 
 impl Dispatcher {
-    /// Replaces the list of upstreams, keeping the state of those known already.
-    pub fn set_upstreams(&mut self, specs: impl IntoIterator<Item = UpstreamSpec>) {
+    /// Tells which of all instances this one is; applies from the next list of upstreams on.
+    pub fn set_position(&mut self, position: InstancePosition) {
+        self.position = position;
+    }
+
+    /// Replaces the list of upstreams, keeping the state of the incarnations known already.
+    pub fn set_upstreams(&mut self, now: Millis, specs: impl IntoIterator<Item = UpstreamSpec>) {
         let mut old = std::mem::take(&mut self.upstreams);
         for spec in specs {
             let id = spec.id.clone();
             let upstream = match old.remove(&id) {
-                Some(known) => Upstream { spec, ..known },
+                Some(mut known) if known.spec.started == spec.started => {
+                    if let Some(limit) = &mut known.rate_limit {
+                        limit.update(now, limit.per_second(), &self.position);
+                    }
+                    Upstream { spec, ..known }
+                }
+                // Requests to an earlier incarnation still end here.
+                Some(earlier) => Upstream { in_flight: earlier.in_flight, ..Upstream::new(spec) },
                 None => Upstream::new(spec),
             };
             self.upstreams.insert(id, upstream);
@@ -398,6 +437,31 @@
         self.shares.set(now, shares);
     }
 
+    /// Takes over what a response says about the limit of upstream `id`; returns whether that
+    /// changes the limit.
+    pub fn on_limit_notice(&mut self, now: Millis, id: &Arc<str>, notice: LimitNotice) -> bool {
+        let Some(u) = self.upstreams.get_mut(id) else {
+            return false;
+        };
+        match (notice, &mut u.rate_limit) {
+            (LimitNotice::Unknown, _) | (LimitNotice::Unlimited, None) => false,
+            (LimitNotice::Unlimited, limit) => {
+                *limit = None;
+                true
+            }
+            (LimitNotice::PerSecond(rate), Some(limit)) => {
+                #[expect(clippy::float_cmp, reason = "both were parsed from a header")]
+                let changed = limit.per_second() != rate;
+                limit.update(now, rate, &self.position);
+                changed
+            }
+            (LimitNotice::PerSecond(rate), limit) => {
+                *limit = Some(RateLimit::new(now, rate, &self.position));
+                true
+            }
+        }
+    }
+
     /// Returns the numbers of requests in flight and waiting.
     #[must_use]
     pub fn request_counts(&self) -> (u32, usize) {
@@ -424,13 +488,15 @@
         if ahead == 0
             && let Some(id) = self.choose_upstream(now, &req)
         {
-            return Ok(self.assign(id, &req));
+            return Ok(self.assign(now, id, &req));
         }
         let wait = self.expected_wait(now, &req, ahead);
         #[expect(clippy::cast_precision_loss, reason = "short spans")]
         let max_wait = req.objective_at.saturating_sub(now) as f64 * MAX_WAIT_SHARE;
-        if ahead > 0 && wait > max_wait {
-            return Ok(self.reject(now, &req, Rejection::Overload));
+        let rate_limited = self.is_rate_limited(now, &req);
+        if (ahead > 0 || rate_limited) && wait > max_wait {
+            let reason = if rate_limited { Rejection::UpstreamLimit } else { Rejection::Overload };
+            return Ok(self.reject(now, &req, reason));
         }
         let ticket = self.next_ticket;
         self.next_ticket += 1;
@@ -497,7 +563,7 @@
         for w in on_time {
             match self.choose_upstream(now, &w.req) {
                 Some(id) => {
-                    let decision = self.assign(id, &w.req);
+                    let decision = self.assign(now, id, &w.req);
                     decisions.push((w.ticket, decision));
                 }
                 None => self.waiting.push(w),
@@ -505,7 +571,7 @@
         }
         for w in late {
             let decision = match self.choose_upstream(now, &w.req) {
-                Some(id) => self.assign(id, &w.req),
+                Some(id) => self.assign(now, id, &w.req),
                 None => self.reject(now, &w.req, Rejection::Overload),
             };
             decisions.push((w.ticket, decision));
@@ -529,17 +595,20 @@
     }
 
     /// Counts a request as in flight at an upstream and returns the decision to send it there.
-    fn assign(&mut self, id: Arc<str>, req: &RequestSpec) -> Decision {
+    fn assign(&mut self, now: Millis, id: Arc<str>, req: &RequestSpec) -> Decision {
         self.update_rejection_rate(&req.destination, false);
         if let Some(u) = self.upstreams.get_mut(&id) {
             u.in_flight += 1;
+            if let Some(limit) = &mut u.rate_limit {
+                limit.take(now);
+            }
         }
         Decision::Send(id)
     }
 
     fn reject(&mut self, now: Millis, req: &RequestSpec, reason: Rejection) -> Decision {
         let wait = match reason {
-            Rejection::Overload => {
+            Rejection::Overload | Rejection::UpstreamLimit => {
                 // The more requests are rejected, the longer until one is likely to be accepted.
                 let served = 1.0 - self.update_rejection_rate(&req.destination, true);
                 let served = match &req.destination {
@@ -596,6 +665,21 @@
         self.refused_keys.get(&(key, *fence)).is_some_and(|until| now < *until)
     }
 
+    /// Returns whether the limits that they have named forbid all upstreams that could take the
+    /// request to be sent it now.
+    fn is_rate_limited(&self, now: Millis, req: &RequestSpec) -> bool {
+        match &req.destination {
+            Destination::Owner(id, _) => {
+                self.upstreams.get(id).is_some_and(|u| u.is_rate_limited(now))
+            }
+            Destination::Any => {
+                let untried = |u: &&Upstream| !u.spec.leaving && !req.tried.contains(&u.spec.id);
+                self.upstreams.values().filter(untried).all(|u| u.is_rate_limited(now))
+            }
+            Destination::NoOwner | Destination::OwnerLost => false,
+        }
+    }
+
     /// Returns how many waiting requests with the same destination go before `req`: those of the
     /// same or a higher priority.
     ///
@@ -618,13 +702,13 @@
         let position = ahead as f64 + 1.0;
         match &req.destination {
             Destination::Owner(id, _) => self.upstreams.get(id).map_or(MAX_RETRY_AFTER_MS, |u| {
-                position * u.response_time / u.window.max(MIN_WINDOW)
+                let by_window = position * u.response_time / u.window.max(MIN_WINDOW);
+                u.rate_limit.map_or(by_window, |l| by_window.max(l.wait_ms(now, position)))
             }),
             Destination::Any => {
                 let available =
                     self.upstreams.values().filter(|u| !u.spec.leaving && !u.is_ejected(now));
-                let throughput: f64 =
-                    available.map(|u| u.window.max(MIN_WINDOW) / u.response_time.max(1.0)).sum();
+                let throughput: f64 = available.map(Upstream::throughput).sum();
                 if throughput > 0.0 { position / throughput } else { UNAVAILABLE_RETRY_AFTER_MS }
             }
             Destination::NoOwner | Destination::OwnerLost => UNAVAILABLE_RETRY_AFTER_MS,
@@ -637,7 +721,7 @@
             Destination::NoOwner | Destination::OwnerLost => None,
             Destination::Owner(id, _) => {
                 let u = self.upstreams.get(id)?;
-                let available = !u.spec.leaving && !u.is_ejected(now) && u.has_capacity();
+                let available = !u.spec.leaving && !u.is_ejected(now) && u.can_take(now);
                 let available = available && !self.is_key_refused(now, req);
                 available.then(|| id.clone())
             }
@@ -664,7 +748,7 @@
                 };
                 candidates
                     .iter()
-                    .filter(|u| u.has_capacity())
+                    .filter(|u| u.can_take(now))
                     .map(|u| (score(u), &u.spec.id))
                     .min_by(|a, b| a.0.total_cmp(&b.0))
                     .map(|(_, id)| id.clone())
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -7,12 +7,13 @@
     dispatch::{Completion, LoadReport},
     http::{self, Body},
     node::Node,
+    rate_limit::LimitNotice,
     routing_config::UpstreamInfo,
 };
 use hyper::{
     HeaderMap, Request, Response, StatusCode, Uri, Version,
     header::{self, HeaderValue},
-    http::request::Parts,
+    http::{request::Parts, response},
 };
 use std::{rc::Rc, time::Instant};
 
@@ -33,16 +34,23 @@
     Unknown(String),
 }
 
+/// What an upstream says about itself in a response.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Feedback {
+    pub load: Option<LoadReport>,
+    pub limit: LimitNotice,
+}
+
 /// The result of an attempt, and what it shows about the upstream.
 pub(crate) struct AttemptReport {
     pub result: AttemptResult,
     pub completion: Completion,
-    pub load: Option<LoadReport>,
+    pub feedback: Feedback,
 }
 
 impl AttemptReport {
     fn new(result: AttemptResult, completion: Completion) -> Self {
-        Self { result, completion, load: None }
+        Self { result, completion, feedback: Feedback::default() }
     }
 }
 
@@ -86,6 +94,33 @@
     Some(LoadReport { running: next()?, waiting: next()?, concurrency: next()? })
 }
 
+/// Returns whether a response says that the request has not run.
+fn is_refusal(node: &Node, head: &response::Parts) -> bool {
+    head.headers.contains_key(&node.adapter.header_names.not_run)
+        || head.status == StatusCode::MISDIRECTED_REQUEST
+}
+
+/// Removes what an upstream says about itself from a response, and returns it.
+fn take_feedback(node: &Node, upstream: &UpstreamInfo, head: &mut response::Parts) -> Feedback {
+    let names = &node.adapter.header_names;
+    let load = parse_load_report(node, &head.headers);
+    let limit = match head.headers.get(&names.rate_limit) {
+        Some(value) => {
+            let parsed = value.to_str().ok().and_then(LimitNotice::parse);
+            if parsed.is_none() {
+                log::warn!(upstream = &*upstream.id; "limit of an upstream is no rate: {value:?}");
+            }
+            parsed.unwrap_or_default()
+        }
+        // A refusal may be made before the upstream knows its state.
+        None if is_refusal(node, head) => LimitNotice::Unknown,
+        None => LimitNotice::Unlimited,
+    };
+    head.headers.remove(&names.load);
+    head.headers.remove(&names.rate_limit);
+    Feedback { load, limit }
+}
+
 /// Sends a request to an upstream once; `time_left` milliseconds remain for it.
 pub(crate) async fn send(
     node: &Rc<Node>,
@@ -131,23 +166,21 @@
             Completion::Failed,
         );
     }
-    let load = parse_load_report(node, &parts.headers);
+    let feedback = take_feedback(node, upstream, &mut parts);
     let will_close = parts.headers.get(header::CONNECTION).is_some_and(|v| v == "close");
-    let not_run = parts.headers.contains_key(&names.not_run)
-        || parts.status == StatusCode::MISDIRECTED_REQUEST;
+    let not_run = is_refusal(node, &parts);
     let length =
         parts.headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
     let signed = parts.headers.contains_key(&names.signature);
     let status = parts.status;
     strip_headers(&mut parts.headers);
-    parts.headers.remove(&names.load);
     if length.is_some_and(|n: u64| n > MAX_BUFFERED_RESPONSE_BYTES) && status.is_success() && signed
     {
         let took_ms = elapsed_ms(started);
         let body = TrackedBody::new(incoming, conn, |_, _| {});
         let body = http_body_util::BodyExt::boxed_unsync(body);
         let result = AttemptResult::Response(Response::from_parts(parts, body));
-        return AttemptReport { result, completion: Completion::Responded(took_ms), load };
+        return AttemptReport { result, completion: Completion::Responded(took_ms), feedback };
     }
     let max = usize::try_from(MAX_BUFFERED_RESPONSE_BYTES).unwrap_or(usize::MAX);
     let bytes = match http::read_body("read response", &upstream.id, incoming, max).await {
@@ -157,12 +190,12 @@
             return AttemptReport {
                 result: AttemptResult::NotRun("rejected"),
                 completion: Completion::Refused,
-                load,
+                feedback,
             };
         }
         Err(e) => {
             let result = AttemptResult::Unknown(e.to_string());
-            return AttemptReport { result, completion: Completion::Failed, load };
+            return AttemptReport { result, completion: Completion::Failed, feedback };
         }
     };
     if !will_close {
@@ -174,24 +207,24 @@
         let completion = if misdirected { Completion::NotOwner } else { Completion::Refused };
         // The texts stay as operators search for them; `rejected` is the upstream's refusal.
         let reason = if misdirected { "not the owner" } else { "rejected" };
-        return AttemptReport { result: AttemptResult::NotRun(reason), completion, load };
+        return AttemptReport { result: AttemptResult::NotRun(reason), completion, feedback };
     }
     if status.is_success() && (!signed || parts.headers.contains_key(header::CONTENT_ENCODING)) {
         let result = AttemptResult::Unknown("response without the upstream's signature".into());
-        return AttemptReport { result, completion: Completion::Failed, load };
+        return AttemptReport { result, completion: Completion::Failed, feedback };
     }
     let res = Response::from_parts(parts, http::full_body(bytes));
     if status.is_server_error() {
         return AttemptReport {
             result: AttemptResult::ErrorResponse(res),
             completion: Completion::Failed,
-            load,
+            feedback,
         };
     }
     AttemptReport {
         result: AttemptResult::Response(res),
         completion: Completion::Responded(took_ms),
-        load,
+        feedback,
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,6 +65,7 @@
 //! - [`coordinator_task`] runs a coordinator (`cell_driver`).
 //! - [`rebalance`] plans the owners of keys ([`placement`]) by the [`traffic`].
 //! - [`overload`] limits the requests for owners that are asked for more than they can serve.
+//! - [`rate_limit`] keeps the limits that upstreams name.
 //!
 //! # Both
 //!
@@ -125,6 +126,7 @@
 pub mod platform_client;
 pub mod pool;
 mod proxy;
+pub mod rate_limit;
 pub mod rebalance;
 pub mod registry;
 mod request_handler;
--- a/src/node.rs
+++ b/src/node.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     adapter::{Change, ChangeOutcome, PlatformAdapter, RowName},
-    clock::{Millis, boot_millis},
+    clock::{Millis, boot_millis, wall_millis},
     collections::HashMap,
     coordinator_task,
     dispatch::{Decision, Destination, Dispatcher, Ticket, UpstreamSpec},
@@ -14,6 +14,7 @@
     listeners,
     overload::OwnerShare,
     pool::{Options, Pool},
+    rate_limit::InstancePosition,
     retry_budget::RetryBudget,
     routing_config::{RoutingConfig, Rule, UpstreamInfo},
     shared_state::{EntryKind, PeerInfo, SharedState},
@@ -467,6 +468,17 @@
         self.shared_state.borrow().instances().count().max(1)
     }
 
+    /// Returns which of all instances this one is.
+    fn position(&self, now: Millis) -> InstancePosition {
+        let shared_state = self.shared_state.borrow();
+        let before = shared_state.instances().filter(|(name, _)| **name < self.cfg.name).count();
+        InstancePosition {
+            instances: u32::try_from(self.instance_count()).unwrap_or(u32::MAX),
+            position: u32::try_from(before).unwrap_or(u32::MAX),
+            clock_offset_ms: wall_millis().saturating_sub(now),
+        }
+    }
+
     /// Applies changed limits on the retries of all instances.
     pub fn set_retry_limits(&self, ratio: f64, reserve: f64) {
         self.retry_limits.set((ratio, reserve));
@@ -496,6 +508,7 @@
         #[expect(clippy::cast_precision_loss, reason = "small numbers")]
         let instances = self.instance_count() as f64;
         let budget = self.retry_budget();
+        let position = self.position(now);
         let shared_state = self.shared_state.borrow();
         let mut services = self.services.borrow_mut();
         for spec in routing_config.services.values() {
@@ -526,13 +539,16 @@
             }
             state.update_unusable_owners(now);
             let same_data_center = |u: &UpstreamInfo| u.data_center == self.cfg.data_center;
-            state.dispatcher.set_upstreams(state.upstreams.values().map(|u| UpstreamSpec {
+            let specs = state.upstreams.values().map(|u| UpstreamSpec {
                 id: u.id.clone(),
+                started: u.started,
                 concurrency: u.concurrency,
                 same_data_center: same_data_center(u),
                 leaving: u.leaving,
                 max_connections: connection_share(spec.max_connections, instances),
-            }));
+            });
+            state.dispatcher.set_position(position);
+            state.dispatcher.set_upstreams(now, specs);
             state.remove_ended_pauses(now);
             state.refresh_destinations();
             state.poll(now);
--- a/src/rebalance.rs
+++ b/src/rebalance.rs
@@ -44,6 +44,8 @@
 const PART_KEYS: f64 = 6_000.0;
 /// Number of spans of a map that are reserved for keys whose owner is lost.
 const RESERVED_SPANS: usize = 200;
+/// Least requests per second that an upstream is taken to serve, however low its limit.
+const MIN_CAPACITY: f64 = 0.1;
 /// Response time in milliseconds that is assumed for a service without any measured one.
 const DEFAULT_RESPONSE_MS: f64 = 120.0;
 
@@ -71,10 +73,11 @@
 }
 
 /// Returns the requests per second that an upstream can serve, where `mean_time` is
-/// [`mean_response_time`].
+/// [`mean_response_time`], or that it takes if it has named a limit.
 pub(crate) fn capacity(u: &UpstreamInfo, traffic: &TrafficStats, mean_time: f64) -> f64 {
     let time = traffic.response_time(&u.id, mean_time).max(1.0);
-    f64::from(u.concurrency.max(1)) * 1_000.0 / time
+    let by_time = f64::from(u.concurrency.max(1)) * 1_000.0 / time;
+    traffic.rate_limit(&u.id).map_or(by_time, |limit| by_time.min(limit).max(MIN_CAPACITY))
 }
 
 fn owner_of(u: &UpstreamInfo) -> Owner {
@@ -309,8 +312,12 @@
         let Some(source) = sources.iter().max_by(by_utilization).copied() else {
             return;
         };
-        let all: Vec<usize> = (0..candidates.len()).collect();
-        let Some(target) = all.iter().min_by(by_utilization).copied() else {
+        let spare_rate =
+            |n: usize| (average - candidates[n].utilization()) * candidates[n].capacity;
+        // One with a small capacity may be little used and yet have no room.
+        let with_room: Vec<usize> =
+            (0..candidates.len()).filter(|n| spare_rate(*n) >= MIN_MOVED_RATE).collect();
+        let Some(target) = with_room.iter().min_by(by_utilization).copied() else {
             return;
         };
         let source_utilization = candidates[source].utilization();
@@ -318,13 +325,12 @@
         {
             return;
         }
-        let spare_rate = (average - candidates[target].utilization()) * candidates[target].capacity;
         let excess = (source_utilization - average) * candidates[source].capacity;
         let taken: Vec<KeyRange> =
             excluded.iter().copied().chain(changes.iter().map(|c| c.range)).collect();
         let owner = &candidates[source].owner;
         let Some((range, rate)) =
-            best_range_to_move(planned, owner, &taken, traffic, excess.min(spare_rate))
+            best_range_to_move(planned, owner, &taken, traffic, excess.min(spare_rate(target)))
         else {
             exhausted.push(source);
             continue;
--- a/src/request_handler.rs
+++ b/src/request_handler.rs
@@ -202,7 +202,7 @@
             return Err(LocalResponse::new(StatusCode::GATEWAY_TIMEOUT, "timeout at the upstream"));
         };
         record_feedback(node, cx, &upstream_id, &report);
-        in_flight.end(report.completion, report.load);
+        in_flight.end(report.completion, report.feedback.load);
         if report.completion != Completion::Unreachable {
             cx.attempts += 1;
         }
@@ -297,10 +297,18 @@
     let Some(state) = services.get_mut(&cx.service) else {
         return;
     };
-    if let (true, Some(load)) = (cx.key.is_some(), report.load) {
+    let feedback = &report.feedback;
+    if state.dispatcher.on_limit_notice(boot_millis(), upstream_id, feedback.limit) {
+        let per_second = feedback.limit.per_second();
+        log::info!(upstream = &**upstream_id, per_second:?; "limit of an upstream changed");
+    }
+    if cx.key.is_some() {
+        state.traffic.on_limit_notice(upstream_id, feedback.limit);
+    }
+    if let (true, Some(load)) = (cx.key.is_some(), feedback.load) {
         state.traffic.on_queue(upstream_id, load.waiting);
     }
-    match (report.completion, report.load) {
+    match (report.completion, feedback.load) {
         (Completion::NotOwner, _) => {
             if let (Destination::Owner(owner, fence), Some(key)) =
                 (state.destination(cx.key), cx.key)
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -7,6 +7,7 @@
     clock::Millis,
     collections::HashMap,
     keymap::{KEY_COUNT, Key, KeyRange},
+    rate_limit::LimitNotice,
 };
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -22,6 +23,9 @@
 const PRIOR_RESPONSES: f64 = 12.0;
 /// Number of an upstream's own responses that count; older ones weigh less.
 const MAX_RESPONSES: f64 = 40.0;
+/// Time in milliseconds for which a reported limit of an upstream counts: a limited upstream still
+/// responds every few seconds, to one of many instances.
+const LIMIT_VALIDITY_MS: Millis = 5_000;
 /// Maximum number of keys in a report; neighbouring keys are counted together to stay within it.
 const MAX_REPORTED_KEYS: usize = 2_048;
 
@@ -39,6 +43,10 @@
     /// upstream, number of responses, sum of the queues. Other versions may not send it.
     #[serde(default)]
     pub queues: Vec<(Arc<str>, u32, u64)>,
+    /// Requests per second that upstreams have named as their limit, in their last response. Other
+    /// versions may not send it.
+    #[serde(default)]
+    pub limits: Vec<(Arc<str>, f64)>,
 }
 
 /// Traffic counts of one service since the last report.
@@ -47,6 +55,7 @@
     requests: HashMap<Key, u32>,
     times: HashMap<Arc<str>, (u32, f64)>,
     queues: HashMap<Arc<str>, (u32, u64)>,
+    limits: HashMap<Arc<str>, f64>,
 }
 
 impl TrafficCounter {
@@ -69,6 +78,19 @@
         entry.1 += u64::from(waiting);
     }
 
+    /// Notes what a response says about the limit of its upstream.
+    pub fn on_limit_notice(&mut self, upstream: &Arc<str>, notice: LimitNotice) {
+        match notice {
+            LimitNotice::Unknown => {}
+            LimitNotice::Unlimited => {
+                self.limits.remove(upstream);
+            }
+            LimitNotice::PerSecond(rate) => {
+                self.limits.insert(upstream.clone(), rate);
+            }
+        }
+    }
+
     /// Returns the counts and resets them; `None`, and no reset, if no request was counted.
     pub fn take(&mut self, service: &Arc<str>) -> Option<TrafficReport> {
         if self.requests.is_empty() {
@@ -81,7 +103,8 @@
         }
         let times = self.times.drain().map(|(id, (n, sum))| (id, n, sum)).collect();
         let queues = self.queues.drain().map(|(id, (n, sum))| (id, n, sum)).collect();
-        Some(TrafficReport { service: service.clone(), requests, times, queues })
+        let limits = self.limits.drain().collect();
+        Some(TrafficReport { service: service.clone(), requests, times, queues, limits })
     }
 }
 
@@ -94,6 +117,8 @@
     recent_rates: Vec<f32>,
     decayed_at: Millis,
     times: HashMap<Arc<str>, ResponseTimes>,
+    /// Requests per second that upstreams have named as their limit, and when it was reported.
+    limits: HashMap<Arc<str>, (f64, Millis)>,
 }
 
 /// An upstream's responses, older ones weighted less: their number, and the sum of their times in
@@ -120,7 +145,8 @@
     pub fn new(now: Millis) -> Self {
         let no_rates = vec![0.0; KEY_COUNT as usize];
         let recent_rates = no_rates.clone();
-        Self { rates: no_rates, recent_rates, decayed_at: now, times: HashMap::default() }
+        let (times, limits) = (HashMap::default(), HashMap::default());
+        Self { rates: no_rates, recent_rates, decayed_at: now, times, limits }
     }
 
     /// Reduces the weight of older requests in the rates.
@@ -128,6 +154,7 @@
         #[expect(clippy::cast_precision_loss, reason = "short spans")]
         let elapsed_ms = now.saturating_sub(self.decayed_at) as f64;
         self.decayed_at = now;
+        self.limits.retain(|_, (_, at)| now < *at + LIMIT_VALIDITY_MS);
         #[expect(clippy::cast_possible_truncation, reason = "a factor below 1")]
         let factor = |window_ms: f64| (-elapsed_ms / window_ms).exp() as f32;
         let (long, recent) = (factor(RATE_WINDOW_MS), factor(RECENT_WINDOW_MS));
@@ -152,6 +179,15 @@
             }
             self.times.entry(id.clone()).or_default().add(f64::from(*n), *sum);
         }
+        for (id, per_second) in &report.limits {
+            self.limits.insert(id.clone(), (*per_second, self.decayed_at));
+        }
+    }
+
+    /// Returns the requests per second that an upstream has named as its limit.
+    #[must_use]
+    pub fn rate_limit(&self, upstream: &str) -> Option<f64> {
+        self.limits.get(upstream).map(|(per_second, _)| *per_second)
     }
 
     /// Returns the requests per second for each key.
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -10,6 +10,7 @@
 fn spec(n: usize, same_data_center: bool) -> UpstreamSpec {
     UpstreamSpec {
         id: format!("u{n}").into(),
+        started: 1,
         concurrency: 6,
         same_data_center,
         leaving: false,
@@ -55,7 +56,7 @@
 /// six at once, each for `run_time` milliseconds.
 fn simulate(interval: u64, run_time: u64) -> Totals {
     let mut d = Dispatcher::default();
-    d.set_upstreams([spec(0, true)]);
+    d.set_upstreams(0, [spec(0, true)]);
     let mut out = Totals::default();
     let mut arrived = std::collections::HashMap::new();
     // Running requests by their end, with the time of arrival, and the owner's own queue.
@@ -126,7 +127,7 @@
 fn retry_after_grows_with_rejections() {
     let mean_retry_after = |requests: u32| {
         let mut d = Dispatcher::default();
-        d.set_upstreams([spec(0, true)]);
+        d.set_upstreams(0, [spec(0, true)]);
         let mut sum = 0;
         let mut count = 0;
         for n in 0..requests {
@@ -146,7 +147,7 @@
 #[test]
 fn requests_of_higher_priority_go_first() {
     let mut d = Dispatcher::default();
-    d.set_upstreams([spec(0, true)]);
+    d.set_upstreams(0, [spec(0, true)]);
     while sent_to(&d.submit(0, request(0, 2, owner()))).is_some() {}
     let low = d.submit(1, request(1, 2, owner())).expect_err("waits");
     let high = d.submit(2, request(2, 1, owner())).expect_err("waits");
@@ -159,7 +160,7 @@
 #[test]
 fn refused_key_does_not_hold_up_other_keys_of_its_owner() {
     let mut d = Dispatcher::default();
-    d.set_upstreams([spec(0, true)]);
+    d.set_upstreams(0, [spec(0, true)]);
     d.on_refused_key(0, 7, 1);
     let refused = RequestSpec { key: Some(7), ..request(1, 1, owner()) };
     assert!(d.submit(1, refused).is_err(), "waits for the next owner");
@@ -170,7 +171,7 @@
 #[test]
 fn upstreams_in_own_data_center_are_preferred_until_busy() {
     let mut d = Dispatcher::default();
-    d.set_upstreams([spec(0, true), spec(1, false)]);
+    d.set_upstreams(0, [spec(0, true), spec(1, false)]);
     let id = sent_to(&d.submit(0, request(0, 1, Destination::Any)));
     assert_eq!(id.as_deref(), Some("u0"));
     let busy = LoadReport { running: 6, waiting: 12, concurrency: 6 };
@@ -182,7 +183,7 @@
 #[test]
 fn large_responses_stay_in_data_center() {
     let mut d = Dispatcher::default();
-    d.set_upstreams([spec(0, true), spec(1, false)]);
+    d.set_upstreams(0, [spec(0, true), spec(1, false)]);
     let short_queue = LoadReport { running: 6, waiting: 3, concurrency: 6 };
     d.submit(0, request(0, 1, Destination::Any)).expect("capacity");
     d.on_completion(1, &"u0".into(), Completion::Responded(120.0), Some(short_queue));
@@ -194,7 +195,7 @@
 fn leaving_and_unreachable_upstreams_get_nothing() {
     let mut d = Dispatcher::default();
     let leaving = UpstreamSpec { leaving: true, ..spec(0, true) };
-    d.set_upstreams([leaving, spec(1, true), spec(2, true)]);
+    d.set_upstreams(0, [leaving, spec(1, true), spec(2, true)]);
     d.submit(0, request(0, 1, Destination::Any)).expect("capacity");
     for id in ["u1", "u2"] {
         d.on_completion(1, &id.into(), Completion::Responded(50.0), None);
@@ -220,7 +221,7 @@
 #[test]
 fn request_for_a_lost_owner_is_rejected_at_once() {
     let mut d = Dispatcher::default();
-    d.set_upstreams([spec(0, true)]);
+    d.set_upstreams(0, [spec(0, true)]);
     let decision = d.submit(0, request(0, 1, Destination::OwnerLost));
     let Ok(Decision::Reject { reason: Rejection::NoOwner, retry_after }) = decision else {
         panic!("{decision:?}");
@@ -241,7 +242,7 @@
 #[test]
 fn failing_upstream_gets_less() {
     let mut d = Dispatcher::default();
-    d.set_upstreams([spec(0, true), spec(1, true)]);
+    d.set_upstreams(0, [spec(0, true), spec(1, true)]);
     let mut failed = 0;
     for now in 0..400 {
         if let Some(id) = sent_to(&d.submit(now, request(now, 1, Destination::Any))) {
@@ -264,13 +265,13 @@
 #[test]
 fn upstream_that_only_fails_is_avoided() {
     let mut d = Dispatcher::default();
-    d.set_upstreams([spec(0, true)]);
+    d.set_upstreams(0, [spec(0, true)]);
     for now in 0..3 {
         let id = sent_to(&d.submit(now, request(now, 1, Destination::Any)));
         assert_eq!(id.as_deref(), Some("u0"));
         d.on_completion(now, &"u0".into(), Completion::Failed, None);
     }
-    d.set_upstreams([spec(0, true), spec(1, true)]);
+    d.set_upstreams(0, [spec(0, true), spec(1, true)]);
     let waiting = loop {
         match d.submit(10, RequestSpec { objective_at: 2_000, ..request(10, 1, Destination::Any) })
         {
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -96,6 +96,7 @@
         };
         let spec = UpstreamSpec {
             id,
+            started: 1,
             concurrency: 6,
             same_data_center: true,
             leaving: false,
@@ -103,7 +104,7 @@
         };
         let dispatcher = || {
             let mut d = Dispatcher::default();
-            d.set_upstreams([spec.clone()]);
+            d.set_upstreams(0, [spec.clone()]);
             d
         };
         let mut traffic = TrafficStats::new(0);
--- a/tests/rebalance.rs
+++ b/tests/rebalance.rs
@@ -61,7 +61,7 @@
         service: "foldbook".into(),
         requests,
         times: Vec::new(),
-        queues: Vec::new(),
+        ..TrafficReport::default()
     });
     traffic
 }
@@ -128,7 +128,7 @@
         service: "foldbook".into(),
         requests: Vec::new(),
         times,
-        queues: Vec::new(),
+        ..TrafficReport::default()
     });
     for _ in 0..10 {
         apply_plan(&mut map, &upstreams, &traffic);
@@ -165,7 +165,7 @@
         service: "foldbook".into(),
         requests: Vec::new(),
         times,
-        queues: Vec::new(),
+        ..TrafficReport::default()
     });
     for _ in 0..20 {
         apply_plan(&mut map, &upstreams, &traffic);
@@ -174,6 +174,29 @@
     assert!(after < 1.0, "busiest owner at {after:.2} of its capacity");
 }
 
+/// An owner that takes only three requests a second keeps no more than that, though it is as fast as
+/// the others.
+#[test]
+fn keys_move_away_from_an_owner_that_names_a_limit() {
+    let upstreams = upstreams(12);
+    let mut map = KeyMap::default();
+    apply_plan(&mut map, &upstreams, &TrafficStats::new(0));
+    let mut traffic = traffic(200.0, 100.0, 30_000, 200);
+    traffic.add_report(&TrafficReport {
+        service: "foldbook".into(),
+        limits: vec![("u03".into(), 3.0)],
+        ..TrafficReport::default()
+    });
+    for _ in 0..40 {
+        apply_plan(&mut map, &upstreams, &traffic);
+    }
+    let own = map.spans.iter().filter(|s| &*s.owner.id == "u03");
+    let rate: f64 = own.map(|s| traffic.rate(&s.range)).sum();
+    assert!(rate <= 3.0, "{rate:.1} requests per second");
+    let busiest = max_utilization(&map, &traffic, &upstreams);
+    assert!(busiest < 1.0, "busiest owner at {busiest:.2} of its capacity");
+}
+
 #[test]
 fn keys_of_a_lost_owner_go_to_upstreams_with_capacity() {
     let upstreams = upstreams(4);
