--- a/tests/rate_limit.rs
+++ b/tests/rate_limit.rs
@@ -140,6 +140,7 @@
 }
 
 limit_test! {
+    limit_is_kept_by_one_instance: 1, 3.0, |_| 30;
     limit_is_kept_by_4_instances: 4, 3.0, |_| 30;
     limit_is_kept_by_10_instances: 10, 3.5, |_| 30;
     limit_is_kept_by_12_instances: 12, 4.9, |_| 200;
