Heed upstreams that say in a response that they leave

An upstream that left while the store was out of reach, or whose entry told it late, went on getting requests: 3.6 s after its first response that said so in the failing test, 2 s allowed. Nothing read that header.

Now the incarnation counts as leaving on that instance from that response on, wherever entries come from afterwards; at the same revision, leaving wins between instances. The coordinator learns it with the next traffic report and moves the keys. An upstream that was only kept because its entry had lapsed is dropped.

--- a/src/adapter.rs
+++ b/src/adapter.rs
@@ -94,6 +94,8 @@
     /// Requests per second that an upstream in need takes from all instances together, for as long
     /// as its responses have it.
     pub rate_limit: HeaderName,
+    /// Marks the responses of an upstream that is about to stop and takes no new requests.
+    pub leaving: HeaderName,
 }
 
 /// Everything that the router needs from the platform.
--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -353,6 +353,9 @@
     fn add_report(&mut self, report: &TrafficReport) {
         self.traffic.add_report(report);
         self.overload.add_queues(&report.queues);
+        for (id, started) in &report.leaving {
+            self.node.on_upstream_leaving(id, *started);
+        }
     }
 
     /// Tells all instances which share of the requests overloaded owners can serve.
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -39,6 +39,8 @@
 pub(crate) struct Feedback {
     pub load: Option<LoadReport>,
     pub limit: LimitNotice,
+    /// Whether it is about to stop and takes no new requests.
+    pub leaving: bool,
 }
 
 /// The result of an attempt, and what it shows about the upstream.
@@ -116,9 +118,11 @@
         None if is_refusal(node, head) => LimitNotice::Unknown,
         None => LimitNotice::Unlimited,
     };
-    head.headers.remove(&names.load);
-    head.headers.remove(&names.rate_limit);
-    Feedback { load, limit }
+    let leaving = head.headers.get(&names.leaving).is_some_and(|v| v == "1");
+    for name in [&names.load, &names.rate_limit, &names.leaving] {
+        head.headers.remove(name);
+    }
+    Feedback { load, limit, leaving }
 }
 
 /// Sends a request to an upstream once; `time_left` milliseconds remain for it.
--- a/src/node.rs
+++ b/src/node.rs
@@ -413,6 +413,11 @@
         }
     }
 
+    /// Records that an incarnation of an upstream has said in a response that it leaves.
+    pub(crate) fn on_upstream_leaving(self: &Rc<Self>, id: &Arc<str>, started: u64) {
+        self.update_shared_state(|shared_state, _| shared_state.mark_leaving(id, started));
+    }
+
     /// Returns whether this instance should follow the store itself instead of relying on a relay.
     #[must_use]
     pub fn should_follow_store(&self) -> bool {
--- a/src/request_handler.rs
+++ b/src/request_handler.rs
@@ -202,6 +202,9 @@
             return Err(LocalResponse::new(StatusCode::GATEWAY_TIMEOUT, "timeout at the upstream"));
         };
         record_feedback(node, cx, &upstream_id, &report);
+        if report.feedback.leaving {
+            record_leaving(node, cx, &upstream);
+        }
         in_flight.end(report.completion, report.feedback.load);
         if report.completion != Completion::Unreachable {
             cx.attempts += 1;
@@ -326,6 +329,15 @@
     }
 }
 
+/// Records that an upstream has said that it leaves, and tells the coordinator if it owns keys.
+fn record_leaving(node: &Rc<Node>, cx: &RequestContext, upstream: &UpstreamInfo) {
+    if let (Some(state), true) = (node.services.borrow_mut().get_mut(&cx.service), cx.key.is_some())
+    {
+        state.traffic.on_leaving(&upstream.id, upstream.started);
+    }
+    node.on_upstream_leaving(&upstream.id, upstream.started);
+}
+
 fn upstream_info(
     node: &Node,
     cx: &RequestContext,
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -2,7 +2,8 @@
 //! known revision of each entry.
 //!
 //! Entries come from the store's feeds and from other instances. The higher revision wins, so the
-//! order of arrival does not matter, and no entry ever goes back to an older revision. The
+//! order of arrival does not matter, and no entry ever goes back to an older revision. Of the same
+//! revision, an upstream that has said that it leaves wins, see [`SharedState::mark_leaving`]. The
 //! exception is the configuration: one that cannot be read, or has a lower version than the one in
 //! force, is ignored.
 //!
@@ -107,6 +108,8 @@
     lapsed: HashMap<Arc<str>, (Arc<UpstreamInfo>, Millis)>,
     /// The same upstreams, until [`Self::take_new_lapses`].
     new_lapses: Vec<(Arc<str>, Millis)>,
+    /// Upstreams that have said in a response that they leave, and when these incarnations started.
+    announced_leaving: HashMap<Arc<str>, u64>,
     /// The latest time at which the store is known not to have answered.
     store_away_at: Option<Millis>,
     /// The configuration in force.
@@ -117,6 +120,10 @@
     kind as usize
 }
 
+fn is_leaving(entry: &StateEntry) -> bool {
+    matches!(&entry.value, Some(EntryValue::Upstream(u)) if u.leaving)
+}
+
 impl SharedState {
     /// Merges entries; returns whether anything changed.
     pub fn merge(&mut self, now: Millis, entries: impl IntoIterator<Item = StateEntry>) -> bool {
@@ -126,8 +133,12 @@
 
     fn merge_one(&mut self, now: Millis, entry: &StateEntry) -> bool {
         let entry_key = (entry.kind, entry.key.clone());
+        let entry = &self.with_announced_leaving(entry.clone());
         let old = self.entries.get(&entry_key);
-        if old.is_some_and(|o| o.revision >= entry.revision) {
+        if old.is_some_and(|o| {
+            o.revision > entry.revision
+                || o.revision == entry.revision && (is_leaving(o) || !is_leaving(entry))
+        }) {
             return false;
         }
         if entry.kind == EntryKind::RoutingConfig {
@@ -148,6 +159,37 @@
         true
     }
 
+    /// Records that an incarnation of an upstream has said in a response that it leaves; returns
+    /// whether that was not known.
+    ///
+    /// It counts as leaving from now on, whatever its entry says: the entry may be older, or the
+    /// store out of reach.
+    pub fn mark_leaving(&mut self, id: &Arc<str>, started: u64) -> bool {
+        if self.announced_leaving.get(id).is_some_and(|known| *known >= started) {
+            return false;
+        }
+        self.announced_leaving.insert(id.clone(), started);
+        self.lapsed.retain(|_, (u, _)| !u.is_incarnation(id, started));
+        let entry_key = (EntryKind::Upstream, id.clone());
+        if let Some(entry) = self.entries.get(&entry_key) {
+            let entry = self.with_announced_leaving(entry.clone());
+            self.unpublished.push(entry.clone());
+            self.entries.insert(entry_key, entry);
+        }
+        true
+    }
+
+    /// Returns an entry with what its upstream has said about leaving.
+    fn with_announced_leaving(&self, mut entry: StateEntry) -> StateEntry {
+        if let Some(EntryValue::Upstream(u)) = &mut entry.value
+            && self.announced_leaving.get(&u.id) == Some(&u.started)
+            && !u.leaving
+        {
+            *u = Arc::new(UpstreamInfo { leaving: true, ..(**u).clone() });
+        }
+        entry
+    }
+
     /// Returns the entries that changed since the last call.
     pub fn take_changes(&mut self) -> Vec<StateEntry> {
         std::mem::take(&mut self.unpublished)
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -47,6 +47,10 @@
     /// versions may not send it.
     #[serde(default)]
     pub limits: Vec<(Arc<str>, f64)>,
+    /// Upstreams that have said in a response that they leave, and when these incarnations started.
+    /// Other versions may not send it.
+    #[serde(default)]
+    pub leaving: Vec<(Arc<str>, u64)>,
 }
 
 /// Traffic counts of one service since the last report.
@@ -56,6 +60,7 @@
     times: HashMap<Arc<str>, (u32, f64)>,
     queues: HashMap<Arc<str>, (u32, u64)>,
     limits: HashMap<Arc<str>, f64>,
+    leaving: HashMap<Arc<str>, u64>,
 }
 
 impl TrafficCounter {
@@ -91,6 +96,11 @@
         }
     }
 
+    /// Notes that an incarnation of an upstream has said that it leaves.
+    pub fn on_leaving(&mut self, upstream: &Arc<str>, started: u64) {
+        self.leaving.insert(upstream.clone(), started);
+    }
+
     /// Returns the counts and resets them; `None`, and no reset, if no request was counted.
     pub fn take(&mut self, service: &Arc<str>) -> Option<TrafficReport> {
         if self.requests.is_empty() {
@@ -104,7 +114,9 @@
         let times = self.times.drain().map(|(id, (n, sum))| (id, n, sum)).collect();
         let queues = self.queues.drain().map(|(id, (n, sum))| (id, n, sum)).collect();
         let limits = self.limits.drain().collect();
-        Some(TrafficReport { service: service.clone(), requests, times, queues, limits })
+        let leaving = self.leaving.drain().collect();
+        let service = service.clone();
+        Some(TrafficReport { service, requests, times, queues, limits, leaving })
     }
 }
 
--- a/tests/shared_state.rs
+++ b/tests/shared_state.rs
@@ -138,3 +138,39 @@
     assert_eq!(other.digest(), state.digest());
     assert!(state.newer_than(&other.digest()).is_empty());
 }
+
+/// What an upstream says of itself in a response holds for its incarnation, whatever entries say.
+#[test]
+fn upstream_that_says_that_it_leaves_is_used_again() {
+    let is_leaving =
+        |state: &SharedState| state.upstreams(0).map(|u| u.leaving).collect::<Vec<_>>();
+    let mut state = SharedState::default();
+    state.merge(0, [upstream("a", 1, false)]);
+    assert!(state.mark_leaving(&"a".into(), 1));
+    assert!(!state.mark_leaving(&"a".into(), 1), "known");
+    assert_eq!(is_leaving(&state), [true]);
+    state.merge(0, [upstream("a", 2, false)]);
+    assert_eq!(is_leaving(&state), [true], "an entry that is older than the response");
+    // Other instances take it over at the same revision, and do not give it back.
+    let mut other = SharedState::default();
+    other.merge(0, [upstream("a", 2, false)]);
+    assert!(other.merge(0, state.take_changes()));
+    assert_eq!(is_leaving(&other), [true]);
+    assert!(!other.merge(0, [upstream("a", 2, false)]));
+    // A later incarnation is another upstream.
+    let Some(EntryValue::Upstream(u)) = upstream("a", 3, false).value else { unreachable!() };
+    let reborn = EntryValue::Upstream(Arc::new(UpstreamInfo { started: 2, ..(*u).clone() }));
+    state.merge(0, [StateEntry { value: Some(reborn), ..upstream("a", 3, false) }]);
+    assert_eq!(is_leaving(&state), [false]);
+}
+
+#[test]
+fn upstream_that_says_that_it_leaves_is_not_kept_when_its_entry_lapses() {
+    let mut state = SharedState::default();
+    state.merge(0, [upstream("a", 1, false)]);
+    state.on_store_failure(100);
+    state.merge(200, [deleted("a", 2)]);
+    assert_eq!(upstream_ids(&state, 300), ["a"]);
+    state.mark_leaving(&"a".into(), 1);
+    assert!(upstream_ids(&state, 300).is_empty());
+}
