Leave upstreams alone that ask for a rest

Now it gets none from that instance until then, 60 s at most; values that are no number of seconds are logged and ignored. A request whose only owner rests for longer than it may wait is rejected at once, also if it was waiting, with a time to return that is not before the end of the rest; others go to upstreams that do not rest. A refused request for a key is not sent to the owner again.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -133,6 +133,8 @@
     Overload,
     /// No upstream that could take it may be sent it in time, by the limits that they have named.
     UpstreamLimit,
+    /// All upstreams that could take it have asked to be left alone for too long.
+    UpstreamRest,
     /// No upstream can take it.
     NoUpstream,
     /// Its key has no owner that can be reached.
@@ -146,6 +148,7 @@
         match self {
             Self::Overload => "overload",
             Self::UpstreamLimit => "upstream limit",
+            Self::UpstreamRest => "upstream rests",
             Self::NoUpstream => "no-upstream",
             Self::NoOwner => "no-owner",
         }
@@ -222,6 +225,8 @@
     window_cut_at: Millis,
     /// The limit that it has named, if any.
     rate_limit: Option<RateLimit>,
+    /// Until when it wants no requests from this instance.
+    rests_until: Millis,
 }
 
 impl Upstream {
@@ -242,12 +247,13 @@
             last_report: None,
             window_cut_at: 0,
             rate_limit: None,
+            rests_until: 0,
         }
     }
 
     /// Returns whether one more request may be sent now.
     fn can_take(&self, now: Millis) -> bool {
-        self.has_capacity() && !self.is_rate_limited(now)
+        self.has_capacity() && !self.is_rate_limited(now) && now >= self.rests_until
     }
 
     /// Returns whether its limit forbids another request now.
@@ -462,6 +468,13 @@
         }
     }
 
+    /// Records that upstream `id` wants no requests from this instance for `rest_ms`.
+    pub fn on_rest(&mut self, now: Millis, id: &Arc<str>, rest_ms: Millis) {
+        if let Some(u) = self.upstreams.get_mut(id) {
+            u.rests_until = u.rests_until.max(now + rest_ms);
+        }
+    }
+
     /// Returns the numbers of requests in flight and waiting.
     #[must_use]
     pub fn request_counts(&self) -> (u32, usize) {
@@ -621,6 +634,8 @@
             Rejection::NoOwner if req.destination == Destination::OwnerLost => {
                 OWNER_LOST_RETRY_AFTER_MS
             }
+            // The time itself is added below.
+            Rejection::UpstreamRest => 0.0,
             Rejection::NoUpstream | Rejection::NoOwner => UNAVAILABLE_RETRY_AFTER_MS,
         };
         #[expect(clippy::cast_precision_loss, reason = "short spans")]
@@ -631,6 +646,7 @@
         let jitter = rand::random_range(0.75..1.5);
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "positive")]
         let retry_after = (wait.clamp(MIN_RETRY_AFTER_MS, max) * jitter) as Millis;
+        let retry_after = retry_after + self.rest_left(now, req);
         Decision::Reject { reason, retry_after }
     }
 
@@ -640,6 +656,11 @@
             Destination::NoOwner if now >= wait_deadline(req) => Some(Rejection::NoOwner),
             Destination::NoOwner => None,
             Destination::OwnerLost => Some(Rejection::NoOwner),
+            Destination::Owner(..) | Destination::Any
+                if now + self.rest_left(now, req) > wait_deadline(req) =>
+            {
+                Some(Rejection::UpstreamRest)
+            }
             Destination::Owner(id, _) => {
                 let owner = self.upstreams.get(id).filter(|u| u.is_ejected(now))?;
                 // A request waits for an owner that has just become unreachable until half of the
@@ -650,8 +671,7 @@
                 (has_waited || is_lost).then_some(Rejection::NoOwner)
             }
             Destination::Any => {
-                let untried = |u: &Upstream| !u.spec.leaving && !req.tried.contains(&u.spec.id);
-                let any = self.upstreams.values().any(untried);
+                let any = self.untried(req).next().is_some();
                 (!any).then_some(Rejection::NoUpstream)
             }
         }
@@ -665,6 +685,23 @@
         self.refused_keys.get(&(key, *fence)).is_some_and(|until| now < *until)
     }
 
+    /// Returns the time in milliseconds until the first upstream that could take the request wants
+    /// requests again; 0 if there is no such upstream.
+    fn rest_left(&self, now: Millis, req: &RequestSpec) -> Millis {
+        let until = match &req.destination {
+            Destination::Owner(id, _) => self.upstreams.get(id).map(|u| u.rests_until),
+            Destination::Any => self.untried(req).map(|u| u.rests_until).min(),
+            Destination::NoOwner | Destination::OwnerLost => None,
+        };
+        until.map_or(0, |until| until.saturating_sub(now))
+    }
+
+    /// Returns the upstreams that a request to any of them may be sent to.
+    fn untried(&self, req: &RequestSpec) -> impl Iterator<Item = &Upstream> {
+        let may_take = |u: &&Upstream| !u.spec.leaving && !req.tried.contains(&u.spec.id);
+        self.upstreams.values().filter(may_take)
+    }
+
     /// Returns whether the limits that they have named forbid all upstreams that could take the
     /// request to be sent it now.
     fn is_rate_limited(&self, now: Millis, req: &RequestSpec) -> bool {
@@ -672,10 +709,7 @@
             Destination::Owner(id, _) => {
                 self.upstreams.get(id).is_some_and(|u| u.is_rate_limited(now))
             }
-            Destination::Any => {
-                let untried = |u: &&Upstream| !u.spec.leaving && !req.tried.contains(&u.spec.id);
-                self.upstreams.values().filter(untried).all(|u| u.is_rate_limited(now))
-            }
+            Destination::Any => self.untried(req).all(|u| u.is_rate_limited(now)),
             Destination::NoOwner | Destination::OwnerLost => false,
         }
     }
@@ -706,8 +740,10 @@
                 u.rate_limit.map_or(by_window, |l| by_window.max(l.wait_ms(now, position)))
             }),
             Destination::Any => {
-                let available =
-                    self.upstreams.values().filter(|u| !u.spec.leaving && !u.is_ejected(now));
+                let available = self
+                    .upstreams
+                    .values()
+                    .filter(|u| !u.spec.leaving && !u.is_ejected(now) && now >= u.rests_until);
                 let throughput: f64 = available.map(Upstream::throughput).sum();
                 if throughput > 0.0 { position / throughput } else { UNAVAILABLE_RETRY_AFTER_MS }
             }
@@ -726,11 +762,7 @@
                 available.then(|| id.clone())
             }
             Destination::Any => {
-                let usable: Vec<&Upstream> = self
-                    .upstreams
-                    .values()
-                    .filter(|u| !u.spec.leaving && !req.tried.contains(&u.spec.id))
-                    .collect();
+                let usable: Vec<&Upstream> = self.untried(req).collect();
                 let healthy =
                     usable.iter().filter(|u| !u.is_ejected(now) && now >= u.avoided_until);
                 let mut candidates: Vec<&&Upstream> = healthy.collect();
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -22,6 +22,9 @@
 /// successful and signed; else the attempt fails.
 const MAX_BUFFERED_RESPONSE_BYTES: u64 = 2 << 20;
 
+/// Longest time in milliseconds for which an upstream is left alone because it asks for it.
+const MAX_REST_MS: Millis = 60_000;
+
 /// The result of an attempt.
 pub(crate) enum AttemptResult {
     /// The upstream's response, to be passed on.
@@ -41,6 +44,8 @@
     pub limit: LimitNotice,
     /// Whether it is about to stop and takes no new requests.
     pub leaving: bool,
+    /// Time in milliseconds for which it wants no requests from this instance.
+    pub rest_ms: Option<Millis>,
 }
 
 /// The result of an attempt, and what it shows about the upstream.
@@ -102,6 +107,26 @@
         || head.status == StatusCode::MISDIRECTED_REQUEST
 }
 
+/// Returns the time in milliseconds for which an upstream that rejects a request wants no more from
+/// this instance.
+fn parse_rest(upstream: &UpstreamInfo, head: &response::Parts) -> Option<Millis> {
+    if head.status != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let value = head.headers.get(header::RETRY_AFTER)?;
+    let seconds: Option<f64> = value.to_str().ok().and_then(|v| v.trim().parse().ok());
+    let Some(seconds) = seconds.filter(|s| *s >= 0.0) else {
+        log::warn!(upstream = &*upstream.id; "rest of an upstream is no number of seconds: {value:?}");
+        return None;
+    };
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "saturates")]
+    let rest_ms = (seconds * 1_000.0).ceil() as Millis;
+    if rest_ms > MAX_REST_MS {
+        log::warn!(upstream = &*upstream.id, rest_ms; "rest of an upstream is cut short");
+    }
+    Some(rest_ms.min(MAX_REST_MS))
+}
+
 /// Removes what an upstream says about itself from a response, and returns it.
 fn take_feedback(node: &Node, upstream: &UpstreamInfo, head: &mut response::Parts) -> Feedback {
     let names = &node.adapter.header_names;
@@ -122,7 +147,7 @@
     for name in [&names.load, &names.rate_limit, &names.leaving] {
         head.headers.remove(name);
     }
-    Feedback { load, limit, leaving }
+    Feedback { load, limit, leaving, rest_ms: parse_rest(upstream, head) }
 }
 
 /// Sends a request to an upstream once; `time_left` milliseconds remain for it.
--- a/src/request_handler.rs
+++ b/src/request_handler.rs
@@ -219,7 +219,9 @@
             }
         };
         let any_may_have_run = error_response.is_some() || cx.may_have_run;
-        let retry = (cx.rule.idempotent || !any_may_have_run)
+        let owner_rest_ms = report.feedback.rest_ms.filter(|_| cx.key.is_some());
+        let retry = owner_rest_ms.is_none()
+            && (cx.rule.idempotent || !any_may_have_run)
             && body.can_resend()
             && may_retry(node, cx, report.completion);
         // The key `repeat` stays, as operators search for it.
@@ -230,7 +232,10 @@
                 None if any_may_have_run => {
                     Err(LocalResponse::new(StatusCode::BAD_GATEWAY, "upstream broke off"))
                 }
-                None => Err(unserved_response(cx, "upstream rejected", random_retry_after())),
+                None => {
+                    let retry_after = owner_rest_ms.unwrap_or(0) + random_retry_after();
+                    Err(unserved_response(cx, "upstream rejected", retry_after))
+                }
             };
         }
         if cx.key.is_none() {
@@ -305,6 +310,10 @@
         let per_second = feedback.limit.per_second();
         log::info!(upstream = &**upstream_id, per_second:?; "limit of an upstream changed");
     }
+    if let Some(rest_ms) = feedback.rest_ms {
+        state.dispatcher.on_rest(boot_millis(), upstream_id, rest_ms);
+        log::info!(upstream = &**upstream_id, rest_ms; "upstream wants no requests for a while");
+    }
     if cx.key.is_some() {
         state.traffic.on_limit_notice(upstream_id, feedback.limit);
     }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -283,3 +283,42 @@
     assert!(d.poll(400).is_empty());
     assert_eq!(d.poll(600), [(waiting, Decision::Send("u0".into()))]);
 }
+
+/// An owner that wants no requests for longer than a request may wait.
+#[test]
+fn request_for_an_owner_that_rests_is_sent() {
+    let mut d = Dispatcher::default();
+    d.set_upstreams(0, [spec(0, true)]);
+    // The window is full, so that one more waits.
+    (0..3).for_each(|_| assert!(sent_to(&d.submit(0, request(0, 1, owner()))).is_some()));
+    let ticket = d.submit(0, request(0, 1, owner())).expect_err("no capacity");
+    d.on_rest(10, &"u0".into(), 5_000);
+    d.on_completion(10, &"u0".into(), Completion::Refused, None);
+    let rejected = |decision: &Decision| match decision {
+        Decision::Reject { reason, retry_after } => {
+            assert_eq!(*reason, Rejection::UpstreamRest);
+            assert!(*retry_after >= 4_900, "{retry_after}");
+        }
+        Decision::Send(id) => panic!("sent to {id}"),
+    };
+    let decisions = d.poll(10);
+    assert_eq!(decisions.iter().map(|(t, _)| *t).collect::<Vec<_>>(), [ticket]);
+    rejected(&decisions[0].1);
+    rejected(&d.submit(100, request(100, 1, owner())).expect("decided at once"));
+    assert!(sent_to(&d.submit(5_010, request(5_010, 1, owner()))).is_some());
+}
+
+/// A rest that ends in time is waited for; of several upstreams, others get the requests meanwhile.
+#[test]
+fn rest_that_ends_in_time_is_waited_for() {
+    let mut d = Dispatcher::default();
+    d.set_upstreams(0, [spec(0, true), spec(1, true)]);
+    d.on_rest(0, &"u0".into(), 200);
+    for now in 0..3 {
+        let id = sent_to(&d.submit(now, request(now, 1, Destination::Any)));
+        assert_eq!(id.as_deref(), Some("u1"));
+    }
+    let ticket = d.submit(10, request(10, 1, owner())).expect_err("rests");
+    assert!(d.poll(190).is_empty());
+    assert_eq!(d.poll(200), [(ticket, Decision::Send("u0".into()))]);
+}
