Move what an instance knows of one upstream to its own module

No change of behaviour: windows, limits and ejections of one upstream are in upstream_state.rs, queueing and the choice of upstreams stay.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -3,9 +3,8 @@
 //! this.
 //!
 //! Requests wait here and not in an upstream's queue, so that one that can still meet its latency
-//! objective is not held up behind one that cannot. No instance sees what the others send, so each
-//! bounds its requests in flight at an upstream by a window that follows the load that the upstream
-//! reports.
+//! objective is not held up behind one that cannot. Whether an upstream can take a request is in
+//! `upstream_state`.
 //!
 //! Points in time are readings of the boot clock in milliseconds.
 
@@ -14,45 +13,16 @@
     collections::HashMap,
     keymap::Key,
     overload::{AdmittedShares, OwnerShare},
-    rate_limit::{InstancePosition, LimitNotice, RateLimit},
+    rate_limit::{InstancePosition, LimitNotice},
+    upstream_state::{BASE_EJECTION_MS, Upstream},
 };
 use std::sync::Arc;
 
+pub use crate::upstream_state::{Completion, LoadReport, UpstreamSpec};
+
 /// Identifies a waiting request.
 pub type Ticket = u64;
 
-/// Initial window of an upstream, as a share of its concurrency.
-const INITIAL_WINDOW_SHARE: f64 = 0.5;
-/// Largest window, as a multiple of the upstream's concurrency.
-const MAX_WINDOW_FACTOR: f64 = 2.0;
-/// Smallest window in requests.
-const MIN_WINDOW: f64 = 1.0;
-/// Factor on the window when the upstream's queue is longer than half of its concurrency.
-const QUEUE_BACKOFF: f64 = 0.85;
-/// Factor on the window when the upstream refuses a request because it is full.
-const REFUSAL_BACKOFF: f64 = 0.6;
-/// Weight of one response in the moving average of the response time.
-const RESPONSE_TIME_WEIGHT: f64 = 0.1;
-/// Weight of one attempt in the moving average of the failure rate.
-const FAILURE_RATE_WEIGHT: f64 = 0.12;
-/// Time constant in milliseconds with which a reported load decays as it ages.
-const REPORT_DECAY_MS: f64 = 600.0;
-/// Assumed response time in milliseconds of an upstream without any response yet.
-const DEFAULT_RESPONSE_TIME_MS: f64 = 120.0;
-/// Time in milliseconds added to the expected response time of upstreams in other data centres.
-const REMOTE_PENALTY_MS: f64 = 12.0;
-/// The same for large responses, as traffic between data centres is expensive.
-const REMOTE_LARGE_PENALTY_MS: f64 = 300.0;
-/// Time in milliseconds for which an unreachable upstream is ejected: it is not chosen, except for
-/// requests to any upstream while all are ejected. Doubles with each ejection since its last
-/// response.
-const BASE_EJECTION_MS: Millis = 300;
-/// Longest time in milliseconds of one ejection.
-const MAX_EJECTION_MS: Millis = 2_400;
-/// Number of failures in a row from which an upstream without keys is avoided, like an ejected one.
-const MAX_FAILURES_IN_A_ROW: u32 = 3;
-/// Time in milliseconds for which it is avoided after each such failure.
-const FAILURE_AVOIDANCE_MS: Millis = 500;
 /// Share of the time until a request's latency objective for which it may wait.
 const MAX_WAIT_SHARE: f64 = 0.9;
 /// Shortest `Retry-After` in milliseconds, before jitter.
@@ -155,228 +125,6 @@
     }
 }
 
-/// An upstream as currently known.
-#[derive(Debug, Clone)]
-pub struct UpstreamSpec {
-    /// Identity of the upstream.
-    pub id: Arc<str>,
-    /// When its incarnation started, in Unix milliseconds by its own clock.
-    pub started: u64,
-    /// Requests that it runs at once.
-    pub concurrency: u32,
-    /// Whether it runs in this instance's data centre.
-    pub same_data_center: bool,
-    /// Whether it accepts no new requests.
-    pub leaving: bool,
-    /// Connections that this instance may open to it.
-    pub max_connections: u32,
-}
-
-/// Load that an upstream reports with a response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LoadReport {
-    /// Requests that it is running.
-    pub running: u32,
-    /// Requests in its queue.
-    pub waiting: u32,
-    /// Requests that it runs at once.
-    pub concurrency: u32,
-}
-
-/// How an attempt at an upstream ended, as far as it matters for load balancing.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Completion {
-    /// The upstream responded, after this many milliseconds.
-    Responded(f64),
-    /// The upstream refused the request without running it.
-    Refused,
-    /// The upstream refused the request because it holds no grant for the key.
-    NotOwner,
-    /// The connection broke before the response was complete, or the upstream failed.
-    Failed,
-    /// No connection could be made.
-    Unreachable,
-    /// Shows nothing about the upstream: the caller left, also before it had the decision, time ran
-    /// out, an idle connection of the pool had been closed, or the upstream was removed before the
-    /// request was sent.
-    Inconclusive,
-}
-
-#[derive(Debug, Clone)]
-struct Upstream {
-    spec: UpstreamSpec,
-    in_flight: u32,
-    /// Limit on the requests in flight.
-    window: f64,
-    /// Moving average in milliseconds.
-    response_time: f64,
-    /// Moving average of the share of failed attempts.
-    failure_rate: f64,
-    /// Moving average of the share of rejected requests among those for its keys.
-    rejection_rate: f64,
-    ejections: u32,
-    ejected_until: Millis,
-    failures_in_a_row: u32,
-    /// Until when requests that may go to any upstream avoid this one.
-    avoided_until: Millis,
-    /// Reported load, this instance's requests in flight at that time, and when.
-    last_report: Option<(f64, f64, Millis)>,
-    /// When the window was last reduced.
-    window_cut_at: Millis,
-    /// The limit that it has named, if any.
-    rate_limit: Option<RateLimit>,
-    /// Until when it wants no requests from this instance.
-    rests_until: Millis,
-}
-
-impl Upstream {
-    fn new(spec: UpstreamSpec) -> Self {
-        let window = f64::from(spec.concurrency) * INITIAL_WINDOW_SHARE;
-        let window = window.min(f64::from(spec.max_connections)).max(MIN_WINDOW);
-        Self {
-            spec,
-            in_flight: 0,
-            window,
-            response_time: DEFAULT_RESPONSE_TIME_MS,
-            failure_rate: 0.0,
-            rejection_rate: 0.0,
-            ejections: 0,
-            ejected_until: 0,
-            failures_in_a_row: 0,
-            avoided_until: 0,
-            last_report: None,
-            window_cut_at: 0,
-            rate_limit: None,
-            rests_until: 0,
-        }
-    }
-
-    /// Returns whether one more request may be sent now.
-    fn can_take(&self, now: Millis) -> bool {
-        self.has_capacity() && !self.is_rate_limited(now) && now >= self.rests_until
-    }
-
-    /// Returns whether its limit forbids another request now.
-    fn is_rate_limited(&self, now: Millis) -> bool {
-        self.rate_limit.is_some_and(|l| !l.admits(now))
-    }
-
-    /// Returns the requests per millisecond that this instance can expect to have served.
-    fn throughput(&self) -> f64 {
-        let by_window = self.window.max(MIN_WINDOW) / self.response_time.max(1.0);
-        self.rate_limit.map_or(by_window, |l| l.rate().min(by_window))
-    }
-
-    fn has_capacity(&self) -> bool {
-        // Rounds the window to the nearest whole number of requests.
-        f64::from(self.in_flight) + 1.0 <= self.window.max(MIN_WINDOW) + 0.5
-    }
-
-    fn is_ejected(&self, now: Millis) -> bool {
-        now < self.ejected_until
-    }
-
-    /// Returns the expected load, with the requests of other instances.
-    ///
-    /// The other instances' part of the last report decays with its age; this instance's requests
-    /// in flight count in full.
-    fn expected_load(&self, now: Millis) -> f64 {
-        let others = self.last_report.map_or(0.0, |(total, own, at)| {
-            #[expect(clippy::cast_precision_loss, reason = "short spans")]
-            let age = now.saturating_sub(at) as f64;
-            (total - own).max(0.0) * (-age / REPORT_DECAY_MS).exp()
-        });
-        others + f64::from(self.in_flight)
-    }
-
-    /// Returns the expected time in milliseconds until one more request has ended, with penalties
-    /// for failures and for other data centres.
-    fn expected_response_time(&self, now: Millis, large_response: bool) -> f64 {
-        let concurrency = f64::from(self.spec.concurrency.max(1));
-        let load = self.expected_load(now);
-        let queue = (load + 1.0 - concurrency).max(0.0) / concurrency;
-        let distance_penalty = match (self.spec.same_data_center, large_response) {
-            (true, _) => 0.0,
-            (false, false) => REMOTE_PENALTY_MS,
-            (false, true) => REMOTE_LARGE_PENALTY_MS,
-        };
-        // A load equal to the concurrency adds 15 %. Failures weigh as the square of the success
-        // rate, which counts as 5 % at least.
-        let success_rate = (1.0 - self.failure_rate).max(0.05);
-        self.response_time * (1.0 + queue + 0.15 * load / concurrency)
-            / (success_rate * success_rate)
-            + distance_penalty
-    }
-
-    fn record_completion(&mut self, now: Millis, completion: Completion, load: Option<LoadReport>) {
-        if let Some(l) = load {
-            let total = f64::from(l.running + l.waiting);
-            self.last_report = Some((total, f64::from(self.in_flight), now));
-        }
-        let failed = match completion {
-            Completion::Responded(took_ms) => {
-                self.response_time += RESPONSE_TIME_WEIGHT * (took_ms - self.response_time);
-                self.ejections = 0;
-                self.failures_in_a_row = 0;
-                0.0
-            }
-            Completion::Refused => 1.0,
-            Completion::Failed => {
-                self.failures_in_a_row += 1;
-                if self.failures_in_a_row >= MAX_FAILURES_IN_A_ROW {
-                    self.avoided_until = now + FAILURE_AVOIDANCE_MS;
-                }
-                1.0
-            }
-            Completion::Unreachable => {
-                let duration = (BASE_EJECTION_MS << self.ejections.min(3)).min(MAX_EJECTION_MS);
-                self.ejections += 1;
-                self.ejected_until = now + duration;
-                1.0
-            }
-            Completion::NotOwner | Completion::Inconclusive => return,
-        };
-        self.failure_rate += FAILURE_RATE_WEIGHT * (failed - self.failure_rate);
-        self.adjust_window(now, completion, load);
-    }
-
-    /// Adjusts the window to the load: additive increase while the upstream's queue is short,
-    /// multiplicative decrease, at most once per response time, when it is long or the upstream
-    /// refuses because it is full.
-    fn adjust_window(&mut self, now: Millis, completion: Completion, load: Option<LoadReport>) {
-        let concurrency = f64::from(self.spec.concurrency.max(1));
-        // A refusal without a report counts as one of a full upstream.
-        let full = load.is_none_or(|l| l.waiting > 0 || l.running >= l.concurrency);
-        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "positive")]
-        let may_cut = now >= self.window_cut_at + self.response_time as Millis;
-        match (completion, load) {
-            (Completion::Refused, _) if full && may_cut => {
-                self.window = (self.window * REFUSAL_BACKOFF).max(MIN_WINDOW);
-                self.window_cut_at = now;
-            }
-            (Completion::Responded(_), Some(l))
-                if f64::from(l.waiting) > concurrency * 0.5 && may_cut =>
-            {
-                self.window = (self.window * QUEUE_BACKOFF).max(MIN_WINDOW);
-                self.window_cut_at = now;
-            }
-            (Completion::Responded(_), Some(l)) if f64::from(l.waiting) <= concurrency * 0.25 => {
-                self.grow_window(concurrency);
-            }
-            (Completion::Responded(_), None) => self.grow_window(concurrency),
-            _ => {}
-        }
-    }
-
-    /// Adds about one request per window of responses, if the window is at least half used.
-    fn grow_window(&mut self, concurrency: f64) {
-        if f64::from(self.in_flight) + 1.0 >= self.window * 0.5 {
-            self.window = (self.window + 1.0 / self.window).min(concurrency * MAX_WINDOW_FACTOR);
-            self.window = self.window.min(f64::from(self.spec.max_connections)).max(MIN_WINDOW);
-        }
-    }
-}
-
 #[derive(Debug, Clone)]
 struct WaitingRequest {
     ticket: Ticket,
@@ -446,26 +194,8 @@
     /// Takes over what a response says about the limit of upstream `id`; returns whether that
     /// changes the limit.
     pub fn on_limit_notice(&mut self, now: Millis, id: &Arc<str>, notice: LimitNotice) -> bool {
-        let Some(u) = self.upstreams.get_mut(id) else {
-            return false;
-        };
-        match (notice, &mut u.rate_limit) {
-            (LimitNotice::Unknown, _) | (LimitNotice::Unlimited, None) => false,
-            (LimitNotice::Unlimited, limit) => {
-                *limit = None;
-                true
-            }
-            (LimitNotice::PerSecond(rate), Some(limit)) => {
-                #[expect(clippy::float_cmp, reason = "both were parsed from a header")]
-                let changed = limit.per_second() != rate;
-                limit.update(now, rate, &self.position);
-                changed
-            }
-            (LimitNotice::PerSecond(rate), limit) => {
-                *limit = Some(RateLimit::new(now, rate, &self.position));
-                true
-            }
-        }
+        let upstream = self.upstreams.get_mut(id);
+        upstream.is_some_and(|u| u.on_limit_notice(now, notice, &self.position))
     }
 
     /// Records that upstream `id` wants no requests from this instance for `rest_ms`.
@@ -611,10 +341,7 @@
     fn assign(&mut self, now: Millis, id: Arc<str>, req: &RequestSpec) -> Decision {
         self.update_rejection_rate(&req.destination, false);
         if let Some(u) = self.upstreams.get_mut(&id) {
-            u.in_flight += 1;
-            if let Some(limit) = &mut u.rate_limit {
-                limit.take(now);
-            }
+            u.begin_request(now);
         }
         Decision::Send(id)
     }
@@ -735,10 +462,10 @@
         #[expect(clippy::cast_precision_loss, reason = "small numbers")]
         let position = ahead as f64 + 1.0;
         match &req.destination {
-            Destination::Owner(id, _) => self.upstreams.get(id).map_or(MAX_RETRY_AFTER_MS, |u| {
-                let by_window = position * u.response_time / u.window.max(MIN_WINDOW);
-                u.rate_limit.map_or(by_window, |l| by_window.max(l.wait_ms(now, position)))
-            }),
+            Destination::Owner(id, _) => {
+                let owner = self.upstreams.get(id);
+                owner.map_or(MAX_RETRY_AFTER_MS, |u| u.expected_wait(now, position))
+            }
             Destination::Any => {
                 let available = self
                     .upstreams
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,6 +58,7 @@
 //!   [`pipeline`], which splits bytes into requests.
 //! - `request_handler` serves one request (`proxy`).
 //! - [`dispatch`] queues requests and chooses their upstreams ([`admission`], [`load_balancing`]).
+//! - `upstream_state` is what an instance knows of one upstream.
 //! - `forward` sends a request once (`attempt`).
 //! - [`keymap`] is the map of a service's keys to their owners ([`cell`]).
 //! - [`lease`] makes one instance at a time the coordinator of a service.
@@ -143,6 +144,7 @@
 mod tasks;
 pub mod traffic;
 mod transport;
+mod upstream_state;
 mod upstreams;
 pub mod wire;
 
