An address belongs to the upstream that started last

Now of all upstreams that name one address, only the one that started last is there. The revision does not help, as the late entry has the higher one.

The new test of tests/shared_state.rs failed before (the ended upstream was listed).

--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -289,13 +289,25 @@
 
     /// Returns the upstreams that have an entry, including those that are leaving, and those whose
     /// entry has lapsed and that are still kept at `now`.
+    ///
+    /// Where several name one address, only the one that started last is there: an entry of an
+    /// upstream that has ended may be stored late.
     pub fn upstreams(&self, now: Millis) -> impl Iterator<Item = &Arc<UpstreamInfo>> {
-        let listed = self.entries.values().filter_map(|e| match &e.value {
+        let mut latest_start: HashMap<SocketAddr, u64> = HashMap::default();
+        for u in self.listed_upstreams(now) {
+            let latest = latest_start.entry(u.address).or_default();
+            *latest = u.started.max(*latest);
+        }
+        self.listed_upstreams(now).filter(move |u| u.started >= latest_start[&u.address])
+    }
+
+    fn listed_upstreams(&self, now: Millis) -> impl Iterator<Item = &Arc<UpstreamInfo>> {
+        let with_entry = self.entries.values().filter_map(|e| match &e.value {
             Some(EntryValue::Upstream(u)) => Some(u),
             _ => None,
         });
         let lapsed = self.lapsed.values().filter(move |(_, until)| now < *until).map(|(u, _)| u);
-        listed.chain(lapsed)
+        with_entry.chain(lapsed)
     }
 
     /// Returns the committed owners of a service's keys and their revision.
--- a/tests/shared_state.rs
+++ b/tests/shared_state.rs
@@ -174,3 +174,22 @@
     state.mark_leaving(&"a".into(), 1);
     assert!(upstream_ids(&state, 300).is_empty());
 }
+
+/// An entry that a former upstream wrote is stored late, when another service uses its address.
+#[test]
+fn late_entry_of_an_ended_upstream_takes_an_address_that_is_used_again() {
+    let at = |entry: StateEntry, started, port| {
+        let Some(EntryValue::Upstream(u)) = entry.value else { unreachable!() };
+        let address = ([127, 0, 0, 1], port).into();
+        let upstream = UpstreamInfo { started, address, ..(*u).clone() };
+        StateEntry { value: Some(EntryValue::Upstream(Arc::new(upstream))), ..entry }
+    };
+    let mut state = SharedState::default();
+    state
+        .merge(0, [at(upstream("ended", 1, false), 10, 7), at(upstream("other", 2, false), 10, 8)]);
+    state.merge(0, [deleted("ended", 3), at(upstream("later", 4, false), 20, 7)]);
+    state.merge(0, [at(upstream("ended", 5, false), 10, 7)]);
+    assert_eq!(upstream_ids(&state, 0), ["later", "other"]);
+    state.merge(0, [deleted("later", 6)]);
+    assert_eq!(upstream_ids(&state, 0), ["ended", "other"]);
+}
