Tell the limit as the reason also for requests that waited

A request that waited for a limited upstream until its time was over was rejected as "overload", which sends operators the wrong way. Only the reason changes.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -14,7 +14,8 @@
     secs * 1000 + nanos / 1_000_000
 }
 
-/// Reads the wall clock as milliseconds since the Unix epoch, for stored times and reports only.
+/// Reads the wall clock as milliseconds since the Unix epoch. It may jump, so it is only for stored
+/// times, reports, and to spread over time what instances do.
 #[must_use]
 pub fn wall_millis() -> Millis {
     let now = std::time::SystemTime::now();
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -236,10 +236,8 @@
         let wait = self.expected_wait(now, &req, ahead);
         #[expect(clippy::cast_precision_loss, reason = "short spans")]
         let max_wait = req.objective_at.saturating_sub(now) as f64 * MAX_WAIT_SHARE;
-        let rate_limited = self.is_rate_limited(now, &req);
-        if (ahead > 0 || rate_limited) && wait > max_wait {
-            let reason = if rate_limited { Rejection::UpstreamLimit } else { Rejection::Overload };
-            return Ok(self.reject(now, &req, reason));
+        if (ahead > 0 || self.is_rate_limited(now, &req)) && wait > max_wait {
+            return Ok(self.reject_for_capacity(now, &req));
         }
         let ticket = self.next_ticket;
         self.next_ticket += 1;
@@ -315,7 +313,7 @@
         for w in late {
             let decision = match self.choose_upstream(now, &w.req) {
                 Some(id) => self.assign(now, id, &w.req),
-                None => self.reject(now, &w.req, Rejection::Overload),
+                None => self.reject_for_capacity(now, &w.req),
             };
             decisions.push((w.ticket, decision));
         }
@@ -346,6 +344,13 @@
         Decision::Send(id)
     }
 
+    /// Rejects a request for which no upstream has capacity in time.
+    fn reject_for_capacity(&mut self, now: Millis, req: &RequestSpec) -> Decision {
+        let limited = self.is_rate_limited(now, req);
+        let reason = if limited { Rejection::UpstreamLimit } else { Rejection::Overload };
+        self.reject(now, req, reason)
+    }
+
     fn reject(&mut self, now: Millis, req: &RequestSpec, reason: Rejection) -> Decision {
         let wait = match reason {
             Rejection::Overload | Rejection::UpstreamLimit => {
