--- a/src/node.rs
+++ b/src/node.rs
@@ -38,7 +38,7 @@
 /// Time after which a connection is closed whose bytes the upstream does not acknowledge.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time in milliseconds after which a table counts as not followed unless a call for its changes
-/// has returned: the 2 s for which the store keeps such a call open while nothing changes, and the
+/// has returned: the 1.8 s for which the store keeps such a call open while nothing changes, and the
 /// time of one call.
 const FOLLOW_TIMEOUT_MS: Millis = 2_700;
 /// Maximum time in milliseconds for which requests wait for a move of their key: nine in ten
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -132,6 +132,14 @@
         hosts.retain(|addr, _| keep(addr));
     }
 
+    /// Closes the idle connections to a server.
+    pub fn close_idle(&self, addr: SocketAddr) {
+        let hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(host) = hosts.get(&addr) {
+            host.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
+        }
+    }
+
     fn host(&self, addr: SocketAddr) -> Arc<Host> {
         let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
         let new = || {
