Answer open requests before a stopping process ends

Cause: at the end of the stop, the process ends whatever is open.

Now requests that are open 150 ms before that get their last response: 504 if an attempt is under way, which promises nothing, else 503 with a time to return, as nothing will be sent any more.

--- a/src/listeners.rs
+++ b/src/listeners.rs
@@ -16,6 +16,8 @@
 /// The process exits this many milliseconds before the end of the grace period, when it would be
 /// killed.
 const EXIT_MARGIN_MS: Millis = 400;
+/// Time in milliseconds before the exit at which requests that are still open are answered.
+const LAST_RESPONSE_MARGIN_MS: Millis = 150;
 /// Time until `accept` is called again after an error, and between checks for open connections.
 const RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -71,7 +73,8 @@
 }
 
 /// Waits until the notice to the balancer is over and callers' connections have ended, but no
-/// longer than until shortly before the process is killed.
+/// longer than until shortly before the process is killed. Requests that are open until then are
+/// answered before.
 pub(crate) async fn drain(node: &Rc<Node>) {
     let stopping_since = node.stopping_since.get().unwrap_or_else(boot_millis);
     let exit_at = stopping_since + node.cfg.grace_ms.saturating_sub(EXIT_MARGIN_MS);
@@ -81,6 +84,9 @@
         if now >= exit_at || now > notice_until && caller_connection::open_count() == 0 {
             break;
         }
+        if now + LAST_RESPONSE_MARGIN_MS >= exit_at {
+            node.last_responses.cancel();
+        }
         tokio::time::sleep(RETRY_INTERVAL).await;
     }
     if caller_connection::open_count() > 0 {
--- a/src/node.rs
+++ b/src/node.rs
@@ -277,6 +277,9 @@
     pub(crate) stopping_since: Cell<Option<Millis>>,
     /// Cancelled when the instance begins to stop.
     stopping_token: CancellationToken,
+    /// Cancelled when requests that are still open get their last response, shortly before the
+    /// process ends.
+    pub(crate) last_responses: CancellationToken,
     /// Cancelled when the process is about to end.
     pub stop: CancellationToken,
 }
@@ -306,6 +309,7 @@
             ready: Cell::new(false),
             stopping_since: Cell::new(None),
             stopping_token: CancellationToken::new(),
+            last_responses: CancellationToken::new(),
             stop: CancellationToken::new(),
             cfg,
         })
--- a/src/request_handler.rs
+++ b/src/request_handler.rs
@@ -56,6 +56,8 @@
     owner_refusals: u32,
     /// Whether an attempt was admitted.
     admitted: bool,
+    /// Whether an attempt is under way.
+    is_sent: bool,
 }
 
 /// A response made by this instance, not by an upstream.
@@ -82,7 +84,11 @@
     let id = request_id(&node, &head);
     let result = match prepare(&node, &head, id.clone(), arrived_at) {
         Ok(mut cx) => {
-            let result = serve(&node, &mut cx, &head, body).await;
+            let last_responses = node.last_responses.clone();
+            let result = tokio::select! {
+                result = serve(&node, &mut cx, &head, body) => result,
+                () = last_responses.cancelled() => Err(last_response(&cx)),
+            };
             record_result(&cx, &result);
             result
         }
@@ -153,6 +159,7 @@
         tried: Vec::new(),
         owner_refusals: 0,
         admitted: false,
+        is_sent: false,
     })
 }
 
@@ -197,10 +204,12 @@
         let time_left = cx.upstream_deadline.saturating_sub(now).max(1);
         let timeout = Duration::from_millis(cx.response_deadline.saturating_sub(now).max(1));
         let attempt = forward::send(node, head, &mut body, &upstream, time_left);
+        cx.is_sent = true;
         let Ok(report) = tokio::time::timeout(timeout, attempt).await else {
             in_flight.end(Completion::Inconclusive, None);
             return Err(LocalResponse::new(StatusCode::GATEWAY_TIMEOUT, "timeout at the upstream"));
         };
+        cx.is_sent = false;
         record_feedback(node, cx, &upstream_id, &report);
         if report.feedback.leaving {
             record_leaving(node, cx, &upstream);
@@ -244,6 +253,15 @@
     }
 }
 
+/// Returns the response to a request that is open when the process is about to end.
+fn last_response(cx: &RequestContext) -> LocalResponse {
+    let reason = "instance ends";
+    if cx.is_sent {
+        return LocalResponse::new(StatusCode::GATEWAY_TIMEOUT, reason);
+    }
+    unserved_response(cx, reason, random_retry_after())
+}
+
 /// Returns a random `Retry-After` in milliseconds.
 fn random_retry_after() -> Millis {
     rand::random_range(100..300)
