Say not run only of requests that have not run

Callers could get 503, which promises that the request has not run, for one that an upstream had run and answered with a 5xx: the request was repeated, as its rule allows, and the repetition found no room. Cause: a 5xx did not count as a sign that the request may have run once it was repeated.

Now it does, and such a request ends with 502. It concerns repeatable requests only, as others are not repeated after a 5xx.

Found by reading, for the responses at the end of a stop, which rely on the same sign.

--- a/src/request_handler.rs
+++ b/src/request_handler.rs
@@ -47,8 +47,8 @@
     response_deadline: Millis,
     /// Attempts that ended before the request's deadline, without those that got no connection.
     attempts: u32,
-    /// Whether an attempt ended without telling whether the request ran; a 5xx response, which
-    /// tells that it did, does not set this.
+    /// Whether an attempt ended with a response that tells that the request ran, or without telling
+    /// whether it did.
     may_have_run: bool,
     /// Upstreams that were tried, for requests without a key.
     tried: Vec<Arc<str>>,
@@ -220,17 +220,19 @@
         }
         let (error_response, reason) = match report.result {
             AttemptResult::Response(res) => return Ok(res),
-            AttemptResult::ErrorResponse(res) => (Some(res), "upstream failed".to_owned()),
+            AttemptResult::ErrorResponse(res) => {
+                cx.may_have_run = true;
+                (Some(res), "upstream failed".to_owned())
+            }
             AttemptResult::NotRun(reason) => (None, reason.to_owned()),
             AttemptResult::Unknown(reason) => {
                 cx.may_have_run = true;
                 (None, reason)
             }
         };
-        let any_may_have_run = error_response.is_some() || cx.may_have_run;
         let owner_rest_ms = report.feedback.rest_ms.filter(|_| cx.key.is_some());
         let retry = owner_rest_ms.is_none()
-            && (cx.rule.idempotent || !any_may_have_run)
+            && (cx.rule.idempotent || !cx.may_have_run)
             && body.can_resend()
             && may_retry(node, cx, report.completion);
         // The key `repeat` stays, as operators search for it.
@@ -238,7 +240,7 @@
         if !retry {
             return match error_response {
                 Some(res) => Ok(res),
-                None if any_may_have_run => {
+                None if cx.may_have_run => {
                     Err(LocalResponse::new(StatusCode::BAD_GATEWAY, "upstream broke off"))
                 }
                 None => {
