--- a/src/node.rs
+++ b/src/node.rs
@@ -483,7 +483,7 @@
         let before = shared_state.instances().filter(|(name, _)| **name < self.cfg.name).count();
         InstancePosition {
             instances: u32::try_from(self.instance_count()).unwrap_or(u32::MAX),
-            position: u32::try_from(before).unwrap_or(u32::MAX),
+            rank: u32::try_from(before).unwrap_or(u32::MAX),
             clock_offset_ms: wall_millis().saturating_sub(now),
         }
     }
--- a/src/rate_limit.rs
+++ b/src/rate_limit.rs
@@ -55,7 +55,7 @@
     /// Number of all instances.
     pub instances: u32,
     /// Number of those that come before this one by name.
-    pub position: u32,
+    pub rank: u32,
     /// Time in milliseconds to add to the boot clock for one that all instances share, such as the
     /// time of day.
     pub clock_offset_ms: Millis,
@@ -63,7 +63,7 @@
 
 impl Default for InstancePosition {
     fn default() -> Self {
-        Self { instances: 1, position: 0, clock_offset_ms: 0 }
+        Self { instances: 1, rank: 0, clock_offset_ms: 0 }
     }
 }
 
@@ -93,7 +93,7 @@
         let limit = Self { per_second, share, credit: 0.0, updated_at: now };
         #[expect(clippy::cast_precision_loss, reason = "exact up to 2^53 ms")]
         let tokens = (now + position.clock_offset_ms) as f64 * limit.rate();
-        let credit = (tokens - f64::from(position.position) * share).rem_euclid(1.0);
+        let credit = (tokens - f64::from(position.rank) * share).rem_euclid(1.0);
         Self { credit, ..limit }
     }
 
--- a/src/upstream_state.rs
+++ b/src/upstream_state.rs
@@ -44,6 +44,7 @@
 const MAX_FAILURES_IN_A_ROW: u32 = 3;
 /// Time in milliseconds for which it is avoided after each such failure.
 const FAILURE_AVOIDANCE_MS: Millis = 500;
+
 /// An upstream as currently known.
 #[derive(Debug, Clone)]
 pub struct UpstreamSpec {
--- a/tests/rate_limit.rs
+++ b/tests/rate_limit.rs
@@ -43,7 +43,7 @@
     let mut d = Dispatcher::default();
     d.set_position(InstancePosition {
         instances: number(instances),
-        position: number(n),
+        rank: number(n),
         clock_offset_ms: 1_000_000,
     });
     d.set_upstreams(0, upstreams.iter().map(|id| spec(id)));
