--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -17,13 +17,15 @@
     revision: u64,
     /// Pending writes: instance, when sent, row, expected revision.
     writes: Vec<(usize, u64, LeaseRow, u64)>,
+    /// Earlier rows and their revisions, which the store may go back to.
+    history: Vec<(Option<LeaseRow>, u64)>,
     now: u64,
 }
 
 impl Simulation {
     fn new() -> Self {
         let leases = (0..3).map(|n| Lease::new(format!("e{n}"), 100 + n)).collect();
-        Self { leases, row: None, revision: 0, writes: Vec::new(), now: 1_000 }
+        Self { leases, row: None, revision: 0, writes: Vec::new(), history: Vec::new(), now: 1_000 }
     }
 
     fn read_row(&mut self, n: usize) {
@@ -46,6 +48,7 @@
         }
         let (n, sent, row, expect) = self.writes.remove(0);
         if expect == self.revision {
+            self.history.push((self.row.take(), self.revision));
             self.revision += 1;
             self.row = Some(row);
             if answered {
@@ -54,6 +57,14 @@
         }
     }
 
+    /// Goes back by some writes; the revisions that they had are given out again.
+    fn restore(&mut self, writes: usize) {
+        let index = self.history.len().saturating_sub(writes);
+        if let Some((row, revision)) = self.history.drain(index..).next() {
+            (self.row, self.revision) = (row, revision);
+        }
+    }
+
     fn assert_valid_for_at_most_one(&self) {
         let holders: Vec<usize> = (0..3).filter(|n| self.leases[*n].is_valid(self.now)).collect();
         assert!(holders.len() <= 1, "lease is valid for instances {holders:?} at {}", self.now);
@@ -66,6 +77,7 @@
     ReadRow(usize),
     Renew(usize),
     ExecuteWrite(bool),
+    Restore(usize),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -77,25 +89,42 @@
     ]
 }
 
+fn step_with_restores() -> impl Strategy<Value = Step> {
+    prop_oneof![9 => step(), 1 => (1usize..4).prop_map(Step::Restore)]
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 4_000, failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn lease_is_valid_for_one_instance_at_a_time(steps in prop::collection::vec(step(), 1..60)) {
-        let mut sim = Simulation::new();
-        for s in steps {
-            match s {
-                Step::Wait(ms) => sim.now += ms,
-                Step::ReadRow(n) => sim.read_row(n),
-                Step::Renew(n) => {
-                    if let Some(revision) = sim.leases[n].held_revision() {
-                        sim.write(n, revision);
-                    }
+        run(steps);
+    }
+
+    #[test]
+    fn lease_has_two_holders_after_the_store_is_restored(
+        steps in prop::collection::vec(step_with_restores(), 1..60)
+    ) {
+        run(steps);
+    }
+}
+
+/// Runs the steps, and checks after each that at most one instance holds the lease.
+fn run(steps: Vec<Step>) {
+    let mut sim = Simulation::new();
+    for s in steps {
+        match s {
+            Step::Wait(ms) => sim.now += ms,
+            Step::ReadRow(n) => sim.read_row(n),
+            Step::Renew(n) => {
+                if let Some(revision) = sim.leases[n].held_revision() {
+                    sim.write(n, revision);
                 }
-                Step::ExecuteWrite(answered) => sim.execute_oldest_write(answered),
             }
-            sim.assert_valid_for_at_most_one();
+            Step::ExecuteWrite(answered) => sim.execute_oldest_write(answered),
+            Step::Restore(writes) => sim.restore(writes),
         }
+        sim.assert_valid_for_at_most_one();
     }
 }
 
