Order revisions across restores of the store

Cause: revisions were taken to rise for ever. Everything rests on that: the newest entry wins, a lease unchanged for long enough may be taken, a fence is a revision plus one, the committed owners are the last ones.

Beyond that: - A conditional change is not sent if the store is known to have been restored since the rows were read; if its response shows a later generation, its outcome is unknown. - The lease's row says in which generation it was written. A restored row lets nobody skip the wait. Its holder goes on while its lease is valid. - A coordinator that goes on commits its owners again with a new fence.

Why it works: in the new generation, nobody takes the lease before the wait, and a lease from before ends within it; only who held it all the while knows the owners, and nobody else grants before what may have been granted has expired.

--- a/src/adapter.rs
+++ b/src/adapter.rs
@@ -14,9 +14,10 @@
 pub struct Row {
     /// Key within its group.
     pub key: Arc<str>,
-    /// Stored value.
-    pub value: Vec<u8>,
-    /// Revision of its last change.
+    /// Stored value, `None` if the row does not exist.
+    pub value: Option<Vec<u8>>,
+    /// Revision of its last change, in the generation of the store in which it was read; see
+    /// [`crate::revision`]. Its number is 0 if the row does not exist.
     pub revision: u64,
 }
 
@@ -35,7 +36,7 @@
 /// A conditional, atomic change of rows of one group.
 #[derive(Debug, Clone, Default)]
 pub struct Change {
-    /// Revisions that rows must have; 0 for rows that must not exist.
+    /// Revisions that rows must have, as they were read.
     pub expect: Vec<(RowName, u64)>,
     /// Rows to write.
     pub put: Vec<(RowName, Vec<u8>)>,
@@ -46,7 +47,8 @@
 pub enum ChangeOutcome {
     /// It was made with this revision.
     Done(u64),
-    /// A row had another revision than expected; nothing was changed.
+    /// A row had another revision than expected, or the store was restored since the rows were read;
+    /// nothing was changed.
     Conflict,
     /// It was not made and never will be.
     NotDone,
@@ -58,7 +60,7 @@
 /// one whose rows are read when needed.
 pub struct Table {
     /// Reads one row.
-    pub read: Box<dyn Fn(RowName) -> LocalBoxFuture<'static, Result<Option<Row>>>>,
+    pub read: Box<dyn Fn(RowName) -> LocalBoxFuture<'static, Result<Row>>>,
     /// Makes a conditional change.
     pub change: Box<dyn Fn(Change) -> LocalBoxFuture<'static, ChangeOutcome>>,
 }
--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -205,9 +205,10 @@
     /// Revision of the owners that earlier coordinators committed last: no grant of theirs has a
     /// higher fence.
     inherited_revision: u64,
-    /// From when keys without an owner may be assigned: 0, or, if the committed owners cannot be
-    /// read, when the last grant to an owner that is not known must have expired.
-    assign_unowned_from: Millis,
+    /// Until when upstreams that are not known as owners may hold keys, so that none is granted or
+    /// committed: 0, or, if the committed owners are not known for certain, when the last grant of
+    /// an earlier coordinator must have expired.
+    unknown_grants_until: Millis,
     /// Whether the next commit gives all keys a new fence.
     refence_pending: bool,
     grants: Vec<RangeGrants>,
@@ -238,7 +239,7 @@
             inherited,
             inherited_until: latest_expiry(now, times.outage_hold),
             inherited_revision: revision,
-            assign_unowned_from: 0,
+            unknown_grants_until: 0,
             refence_pending: !owners.spans.is_empty(),
             owners,
             revision,
@@ -248,12 +249,18 @@
         }
     }
 
-    /// Creates the state of a new coordinator where the committed owners cannot be read: no key is
-    /// assigned before the longest grant to an unknown owner has expired.
+    /// Creates the state of a new coordinator where the committed owners are not known for certain,
+    /// as their row cannot be read or comes from a copy of the store: no key is granted before the
+    /// longest grant to an unknown owner has expired.
     #[must_use]
-    pub fn with_unreadable_owners(now: Millis, times: GrantTimes, revision: u64) -> Self {
-        let assign_unowned_from = latest_expiry(now, times.outage_hold);
-        Self { assign_unowned_from, ..Self::new(now, times, KeyMap::default(), revision) }
+    pub fn with_uncertain_owners(
+        now: Millis,
+        times: GrantTimes,
+        owners: KeyMap,
+        revision: u64,
+    ) -> Self {
+        let unknown_grants_until = latest_expiry(now, times.outage_hold);
+        Self { unknown_grants_until, ..Self::new(now, times, owners, revision) }
     }
 
     /// Returns the committed owners.
@@ -311,6 +318,9 @@
     /// Returns the grants that are due, and records them as sent at `now`; `outage` tells whether
     /// the store does not answer.
     pub fn due_grants(&mut self, now: Millis, outage: bool) -> Vec<GrantOrder> {
+        if now < self.unknown_grants_until {
+            return Vec::new();
+        }
         self.grants.retain(|g| g.expires_at() > now || g.next_due_at > now);
         let hold = if outage { self.times.outage_hold } else { self.times.hold };
         let moving = self.moving_ranges();
@@ -606,7 +616,7 @@
     /// Returns whether the previous owner can no longer serve the keys of a move.
     fn is_free(&self, now: Millis, m: &Move) -> bool {
         let Some((owner, _)) = &m.from else {
-            return now >= self.assign_unowned_from;
+            return true;
         };
         if m.released {
             return now >= self.unanswered_until(now, m.range, owner);
@@ -615,8 +625,12 @@
     }
 
     /// Returns the owners to commit next, and marks the moves that they include; `None` if no key
-    /// is free for its new owner and no new fence is pending.
+    /// is free for its new owner and no new fence is pending, or while the owners are uncertain:
+    /// with a new fence, they would look certain to the next coordinator.
     pub fn next_commit(&mut self, now: Millis) -> Option<KeyMap> {
+        if now < self.unknown_grants_until {
+            return None;
+        }
         let free: Vec<bool> = self.moves.iter().map(|m| self.is_free(now, m)).collect();
         if !free.contains(&true) && !self.refence_pending {
             return None;
@@ -653,6 +667,15 @@
         self.refence_pending = false;
     }
 
+    /// Records that the store was restored from a copy, in which the row of the owners has
+    /// `revision`, while this coordinator's lease was valid: no other has changed the owners, and
+    /// the next commit writes them again, with a new fence for all keys.
+    pub fn on_store_restored(&mut self, revision: u64) {
+        self.revision = revision;
+        self.refence_pending = !self.owners.spans.is_empty();
+        self.on_commit_failed();
+    }
+
     /// Records that the last commit was not carried out and never will be.
     pub fn on_commit_failed(&mut self) {
         self.moves.iter_mut().for_each(|m| m.in_commit = false);
--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -16,7 +16,7 @@
     lease::{self, Lease, LeaseRow},
     node::Node,
     overload::OverloadMonitor,
-    rebalance,
+    rebalance, revision,
     routing_config::UpstreamInfo,
     shared_state::{EntryKind, EntryValue, StateEntry},
     traffic::{TrafficReport, TrafficStats},
@@ -93,9 +93,9 @@
     },
     LeaseRead {
         sent: Millis,
-        row: Result<Option<Row>>,
+        row: Result<Row>,
     },
-    OwnersRead(Result<Option<Row>>),
+    OwnersRead(Result<Row>),
     /// Give the lease back, and signal the end of that.
     Resign(oneshot::Sender<()>),
 }
@@ -152,6 +152,8 @@
     commit_sent_at: Millis,
     /// Number of upstreams, and since when it has been the same.
     upstream_count: (usize, Millis),
+    /// Generation of the store in which this instance's name was published as the coordinator's.
+    published_generation: Option<u64>,
     /// Whether the lease was given back because the instance stops.
     resigned: bool,
 }
@@ -197,6 +199,7 @@
         recently_moved: Vec::new(),
         commit_sent_at: 0,
         upstream_count: (0, now),
+        published_generation: None,
         resigned: false,
     };
     let delay = task.takeover_delay_ms();
@@ -294,9 +297,9 @@
                 self.on_lease_write_ended(now, sent, commit, &outcome);
             }
             Event::LeaseRead { sent, row: Ok(row) } => {
-                self.on_lease_read(now, sent, row.as_ref());
+                self.on_lease_read(now, sent, &row);
             }
-            Event::OwnersRead(Ok(row)) => self.on_owners_read(now, row.as_ref()),
+            Event::OwnersRead(Ok(row)) => self.on_owners_read(now, &row),
             Event::LeaseRead { row: Err(e), .. } | Event::OwnersRead(Err(e)) => {
                 self.on_read_failed(now, &e);
             }
@@ -399,7 +402,7 @@
         if self.lease.held_revision().is_some() {
             if self.reread_lease {
                 self.read_row(now, self.lease_row_name());
-            } else if self.coordinator.is_none() {
+            } else if self.coordinator.is_none() || self.are_owners_lost() {
                 self.read_row(now, self.owners_row_name());
             } else if let Some(map) = self.uncertain_commit.clone() {
                 self.write_lease(now, Some(map));
@@ -419,6 +422,15 @@
         }
     }
 
+    /// Returns whether the store was restored from a copy since the owners were committed or read.
+    fn are_owners_lost(&self) -> bool {
+        let revisions = (self.lease.held_revision(), self.coordinator.as_ref());
+        let (Some(held), Some(coordinator)) = revisions else {
+            return false;
+        };
+        revision::generation(coordinator.revision()) < revision::generation(held)
+    }
+
     /// Returns whether the coordinator has not been heard from for as long as this instance waits.
     fn is_coordinator_silent(&self, now: Millis) -> bool {
         let silent_ms = now.saturating_sub(self.last_heard.get());
@@ -482,14 +494,15 @@
         self.write_lease_at(now, held, commit);
     }
 
-    /// Takes or renews the lease if its row has the given revision, 0 for a missing row. The same
-    /// change publishes the coordinator's name if the lease is taken, and commits owners if given.
+    /// Takes or renews the lease if its row has the given revision. The same change publishes the
+    /// coordinator's name if the lease is taken or the store was restored, and commits owners if
+    /// given.
     fn write_lease_at(&mut self, now: Millis, lease_revision: u64, commit: Option<KeyMap>) {
-        let row = self.lease.next_row();
+        let row = self.lease.next_row(lease_revision);
         let mut change = Change::default();
         change.expect.push((self.lease_row_name(), lease_revision));
         change.put.push((self.lease_row_name(), encode_row(&row)));
-        if self.lease.held_revision().is_none() {
+        if self.published_generation != Some(revision::generation(lease_revision)) {
             let name = self.node.cfg.name.as_bytes().to_vec();
             // "steward" is the stored key of the row with the coordinator's name.
             change.put.push((self.row_name(true, "steward"), name));
@@ -524,6 +537,10 @@
                 self.outage = now >= sent + SLOW_CALL_MS;
                 if taken {
                     log::info!(service = &*self.service, revision; "took the lease");
+                }
+                let generation = Some(revision::generation(*revision));
+                if self.published_generation != generation {
+                    self.published_generation = generation;
                     self.publish_coordinator(*revision);
                 }
                 if let Some(map) = commit {
@@ -594,18 +611,24 @@
         self.next_call_at = now + delay;
     }
 
-    fn on_lease_read(&mut self, now: Millis, sent: Millis, row: Option<&Row>) {
+    fn on_lease_read(&mut self, now: Millis, sent: Millis, row: &Row) {
         self.call_sent_at = None;
         self.failed_reads = 0;
         // A row that cannot be decoded is treated as that of a holder that never renews it.
-        let unreadable = LeaseRow { holder: Some("".into()), process: 0, write_number: 0 };
-        let parsed = row.map(|r| (decode_row(&r.value).unwrap_or(unreadable), r.revision));
+        let unreadable = LeaseRow {
+            holder: Some("".into()),
+            process: 0,
+            write_number: 0,
+            generation: revision::generation(row.revision),
+        };
+        let parsed = row.value.as_ref().map(|v| decode_row(v).unwrap_or(unreadable));
         let held = self.lease.held_revision().is_some();
-        let takeover_revision = self.lease.on_read(sent, parsed.as_ref().map(|(r, n)| (r, *n)));
+        let takeover_revision = self.lease.on_read(sent, parsed.as_ref(), row.revision);
         if held && self.lease.held_revision().is_none() {
             log::warn!(service = &*self.service; "lost the lease");
             self.coordinator = None;
             self.uncertain_commit = None;
+            self.published_generation = None;
             self.reread_lease = false;
             // Gives the new holder time to be heard from.
             self.last_heard.set(now);
@@ -613,7 +636,7 @@
         if self.lease.held_revision().is_some() {
             // This instance holds the lease; find out whether the owners were committed.
             self.reread_lease = false;
-            if self.uncertain_commit.is_some() {
+            if self.uncertain_commit.is_some() || self.are_owners_lost() {
                 self.read_row(now, self.owners_row_name());
             }
         } else if let Some(revision) = takeover_revision {
@@ -623,26 +646,30 @@
         }
     }
 
-    fn on_owners_read(&mut self, now: Millis, row: Option<&Row>) {
+    fn on_owners_read(&mut self, now: Millis, row: &Row) {
         self.call_sent_at = None;
-        let revision = row.map_or(0, |r| r.revision);
-        let map = row.and_then(|r| decode_row::<KeyMap>(&r.value));
-        if row.is_some() && map.is_none() {
+        let are_lost = self.are_owners_lost();
+        let revision = row.revision;
+        let map = row.value.as_ref().and_then(|v| decode_row::<KeyMap>(v));
+        if row.value.is_some() && map.is_none() {
             log::error!(service = &*self.service, revision; "the row of owners cannot be read");
         }
-        let times = grant_times(&self.node);
-        let new_coordinator = |map: Option<KeyMap>| match map {
-            None if revision > 0 => Coordinator::with_unreadable_owners(now, times, revision),
-            map => Coordinator::new(now, times, map.unwrap_or_default(), revision),
-        };
-        match &self.coordinator {
+        match &mut self.coordinator {
             None => {
                 let spans = map.as_ref().map_or(0, |m| m.spans.len());
                 log::info!(service = &*self.service, revision, spans; "owners read");
-                self.coordinator = Some(new_coordinator(map));
+                self.coordinator = Some(self.new_coordinator(now, row, map));
             }
             // Not committed so far; `uncertain_commit` is written again.
             Some(coordinator) if coordinator.revision() == revision => {}
+            Some(coordinator) if are_lost => {
+                log::warn!(
+                    service = &*self.service, revision;
+                    "store was restored, owners are committed again"
+                );
+                coordinator.on_store_restored(revision);
+                self.uncertain_commit = None;
+            }
             Some(_) => match (self.uncertain_commit.take(), map) {
                 (Some(own), Some(map)) if own == map => self.on_committed(map, revision),
                 (_, map) => {
@@ -650,12 +677,39 @@
                         service = &*self.service, revision;
                         "owners changed by another instance"
                     );
-                    self.coordinator = Some(new_coordinator(map));
+                    self.coordinator = Some(self.new_coordinator(now, row, map));
                 }
             },
         }
     }
 
+    /// Returns the state of a new coordinator, from the row of the owners and the map in it.
+    ///
+    /// Owners that were committed before the store was restored from a copy may not be the last
+    /// ones that were: their fences are of an earlier generation than the row. Of these and the last
+    /// ones that this instance knows, the later ones are taken.
+    fn new_coordinator(&self, now: Millis, row: &Row, map: Option<KeyMap>) -> Coordinator {
+        let (times, revision) = (grant_times(&self.node), row.revision);
+        let is_certain = match &map {
+            Some(map) if !map.spans.is_empty() => map.is_certain_at(revision),
+            Some(_) => !self.lease.has_seen_restore(revision),
+            None => row.value.is_none() && !self.lease.has_seen_restore(revision),
+        };
+        let map = map.unwrap_or_default();
+        if is_certain {
+            return Coordinator::new(now, times, map, revision);
+        }
+        let shared_state = self.node.shared_state.borrow();
+        let known = shared_state.owners(&self.service).map(|(known, _)| known);
+        let later = known.filter(|known| known.latest_fence() > map.latest_fence());
+        let owners = later.map_or(map, |known| (**known).clone());
+        log::warn!(
+            service = &*self.service, revision, spans = owners.spans.len();
+            "owners are uncertain, keys are granted once all earlier grants have expired"
+        );
+        Coordinator::with_uncertain_owners(now, times, owners, revision)
+    }
+
     /// Plans moves, and sends the grants and releases that are due.
     fn coordinate(&mut self, now: Millis) {
         let upstreams = self.upstreams();
@@ -780,7 +834,7 @@
             let _ = done.send(());
             return;
         };
-        let row = self.lease.resignation_row();
+        let row = self.lease.resignation_row(held);
         let expect = vec![(self.lease_row_name(), held)];
         let put = vec![(self.lease_row_name(), encode_row(&row))];
         let call = (self.node.adapter.table.change)(Change { expect, put });
@@ -821,18 +875,19 @@
 /// no known kind. A row of a known kind that cannot be decoded gives an entry without a value.
 #[must_use]
 pub fn decode_followed_row(group: &Arc<str>, row: &Row) -> Option<StateEntry> {
+    let stored = row.value.as_ref()?;
     if **group == *INSTANCES_GROUP {
         let (key, revision) = (row.key.clone(), row.revision);
-        let value = decode_row(&row.value).map(EntryValue::Instance);
+        let value = decode_row(stored).map(EntryValue::Instance);
         return Some(StateEntry { kind: EntryKind::Instance, key, revision, value });
     }
     let (kind, value) = match &*row.key {
         "owners" => {
-            (EntryKind::Owners, decode_row(&row.value).map(|m| EntryValue::Owners(Arc::new(m))))
+            (EntryKind::Owners, decode_row(stored).map(|m| EntryValue::Owners(Arc::new(m))))
         }
         // The stored key of the row with the coordinator's name.
         "steward" => {
-            let name = String::from_utf8(row.value.clone()).ok();
+            let name = String::from_utf8(stored.clone()).ok();
             (EntryKind::Coordinator, name.map(|n| EntryValue::Coordinator(n.into())))
         }
         _ => return None,
--- a/src/keymap.rs
+++ b/src/keymap.rs
@@ -1,7 +1,7 @@
 //! The owners of a service's keys in `mulberryspur-platform`: spans of adjacent keys with their
 //! owner and fence.
 
-use crate::collections::HashMap;
+use crate::{collections::HashMap, revision};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -107,6 +107,22 @@
     }
 }
 
+impl KeyMap {
+    /// Returns whether the owners, read at `revision`, are the last ones that were committed: none
+    /// are known for certain that were committed before the store was restored from a copy.
+    #[must_use]
+    pub fn is_certain_at(&self, revision: u64) -> bool {
+        revision::generation(self.latest_fence()) == revision::generation(revision)
+    }
+
+    /// Returns the highest fence, 0 without owners: of two maps of one service, the one with the
+    /// higher fence was committed later.
+    #[must_use]
+    pub fn latest_fence(&self) -> u64 {
+        self.spans.iter().map(|s| s.fence).max().unwrap_or(0)
+    }
+}
+
 impl KeyRange {
     /// Creates the range of keys `from..=to`.
     #[must_use]
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -4,8 +4,12 @@
 //! The lease is a row of the store that its holder rewrites. Others take it over by a conditional
 //! write once they have seen the row unchanged for longer than the holder may act on it. Only
 //! durations on each instance's own clock are compared.
+//!
+//! The store may be restored from a copy, in which the row names an earlier holder. A row that was
+//! not written since then says nothing about who holds the lease: its holder goes on if the lease is
+//! valid by its own clock, and all others wait for the whole time.
 
-use crate::clock::Millis;
+use crate::{clock::Millis, revision};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -41,6 +45,9 @@
     /// Number of the write, so that no two of a process are equal; stored as `number`.
     #[serde(rename = "number")]
     pub write_number: u64,
+    /// Generation of the store in which the holder expected the write to be made.
+    #[serde(default)]
+    pub generation: u64,
 }
 
 /// Returns the delay in milliseconds until a read that failed is repeated, after `failed` earlier
@@ -62,13 +69,14 @@
     name: Arc<str>,
     process: u64,
     write_number: u64,
+    /// Generation of the store at the first read.
+    first_generation: Option<u64>,
     state: State,
 }
 
 #[derive(Debug, Clone)]
 enum State {
-    /// Holds nothing; the row's revision that was read last, 0 for a missing row, and when it was
-    /// first seen.
+    /// Holds nothing; the row's revision that was read last, and when it was first seen.
     Watching(Option<(u64, Millis)>),
     Holding {
         revision: u64,
@@ -81,32 +89,46 @@
     /// Creates the state of an instance that does not hold the lease.
     #[must_use]
     pub fn new(name: impl Into<Arc<str>>, process: u64) -> Self {
-        Self { name: name.into(), process, write_number: 0, state: State::Watching(None) }
+        let (state, first_generation) = (State::Watching(None), None);
+        Self { name: name.into(), process, write_number: 0, first_generation, state }
     }
 
-    /// Returns the row to write for taking or renewing the lease.
-    pub fn next_row(&mut self) -> LeaseRow {
+    /// Returns the row to write for taking or renewing the lease, if its row has the revision
+    /// `expected`.
+    pub fn next_row(&mut self, expected: u64) -> LeaseRow {
         self.write_number += 1;
         LeaseRow {
             holder: Some(self.name.clone()),
             process: self.process,
             write_number: self.write_number,
+            generation: revision::generation(expected),
         }
     }
 
-    /// Returns the row to write for giving the lease back.
-    pub fn resignation_row(&mut self) -> LeaseRow {
-        LeaseRow { holder: None, ..self.next_row() }
+    /// Returns the row to write for giving the lease back, if its row has the revision `expected`.
+    pub fn resignation_row(&mut self, expected: u64) -> LeaseRow {
+        LeaseRow { holder: None, ..self.next_row(expected) }
+    }
+
+    /// Returns whether the store was restored between the first read and `revision`.
+    #[must_use]
+    pub fn has_seen_restore(&self, revision: u64) -> bool {
+        self.first_generation.is_some_and(|first| first < revision::generation(revision))
     }
 
     /// Handles the row and its revision as read by a call sent at `sent`; returns the revision that
     /// a write must expect if this instance should try to take the lease.
-    pub fn on_read(&mut self, sent: Millis, row: Option<(&LeaseRow, u64)>) -> Option<u64> {
-        let revision = row.map_or(0, |(_, r)| r);
-        let own_process = row.is_some_and(|(r, _)| r.process == self.process && r.holder.is_some());
+    pub fn on_read(&mut self, sent: Millis, row: Option<&LeaseRow>, revision: u64) -> Option<u64> {
+        let generation = revision::generation(revision);
+        self.first_generation.get_or_insert(generation);
+        // Without a row, the store may have been restored from a copy that lacks it.
+        let restored = generation != row.map_or(0, |r| r.generation);
+        let own_process = row.is_some_and(|r| r.process == self.process && r.holder.is_some());
+        let valid = self.is_valid(sent);
         match &mut self.state {
-            // A write whose answer was lost may have been carried out.
-            State::Holding { revision: held, .. } if own_process => {
+            // A write whose answer was lost may have been carried out. In a restored store, no
+            // other instance takes the lease before this one's has ended.
+            State::Holding { revision: held, .. } if if restored { valid } else { own_process } => {
                 *held = revision;
                 return None;
             }
@@ -120,9 +142,9 @@
             return None;
         };
         // An earlier process of this instance ended before this one started.
-        let own_name = row.is_some_and(|(r, _)| r.holder.as_deref() == Some(&*self.name));
-        let may_take = row.is_none_or(|(r, _)| r.holder.is_none()) || own_process || own_name;
-        (may_take || sent >= since + TAKEOVER_WAIT_MS).then_some(revision)
+        let own_name = row.is_some_and(|r| r.holder.as_deref() == Some(&*self.name));
+        let is_free = row.is_none_or(|r| r.holder.is_none()) || own_process || own_name;
+        (is_free && !restored || sent >= since + TAKEOVER_WAIT_MS).then_some(revision)
     }
 
     /// Returns the delay in milliseconds until the next read of the row: half of the time until the
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -133,6 +133,7 @@
 mod request_handler;
 pub mod resource;
 pub mod retry_budget;
+pub mod revision;
 pub mod route;
 pub mod routing_config;
 pub mod settings;
--- a/src/node.rs
+++ b/src/node.rs
@@ -16,6 +16,7 @@
     pool::{Options, Pool},
     rate_limit::InstancePosition,
     retry_budget::RetryBudget,
+    revision,
     routing_config::{RoutingConfig, Rule, UpstreamInfo},
     shared_state::{EntryKind, PeerInfo, SharedState},
     traffic::{TrafficCounter, TrafficReport},
@@ -52,6 +53,11 @@
 const RELAY_WAIT_MS: Millis = 2_000;
 /// Time until the row with this instance's address is written again after a failure.
 const PUBLISH_RETRY_DELAY: Duration = Duration::from_millis(700);
+/// Time between checks whether the store was restored from a copy that lacks that row.
+const PUBLISH_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest delay before it is written again then, in milliseconds, so that hundreds of instances do
+/// not write at once.
+const MAX_PUBLISH_DELAY_MS: u64 = 1_000;
 /// Maximum number of connections from this instance to one upstream: twice the largest in-flight
 /// window of one that runs six requests at once.
 const CONNECTIONS_PER_UPSTREAM: usize = 24;
@@ -337,7 +343,8 @@
         Ok(())
     }
 
-    /// Writes the row with this instance's address, by which others find it, to the followed table.
+    /// Writes the row with this instance's address, by which others find it, to the followed table,
+    /// and again whenever the store is restored from a copy that lacks it.
     async fn publish_address(self: Rc<Self>) {
         let followed = true;
         let name = RowName {
@@ -348,15 +355,29 @@
         let value = coordinator_task::encode_row(&self.peer_info());
         loop {
             let put = vec![(name.clone(), value.clone())];
-            if let ChangeOutcome::Done(_) =
-                (self.adapter.table.change)(Change { expect: vec![], put }).await
-            {
-                return;
+            let change = Change { expect: vec![], put };
+            let ChangeOutcome::Done(revision) = (self.adapter.table.change)(change).await else {
+                tokio::time::sleep(PUBLISH_RETRY_DELAY).await;
+                continue;
+            };
+            while !self.is_address_lost(revision) {
+                tokio::time::sleep(PUBLISH_CHECK_INTERVAL).await;
             }
-            tokio::time::sleep(PUBLISH_RETRY_DELAY).await;
+            log::info!(revision; "store was restored without this instance's address");
+            let delay = rand::random_range(0..MAX_PUBLISH_DELAY_MS);
+            tokio::time::sleep(Duration::from_millis(delay)).await;
         }
     }
 
+    /// Returns whether the store lacks this instance's address, which was written at `revision`, as
+    /// it was restored since.
+    fn is_address_lost(&self, revision: u64) -> bool {
+        let known_up_to = self.known_up_to(&[EntryKind::Instance]);
+        let own = self.peer_info();
+        revision::generation(revision) < revision::generation(known_up_to)
+            && self.shared_state.borrow().instance(&self.cfg.name) != Some(&own)
+    }
+
     fn poll(self: &Rc<Self>) {
         let now = boot_millis();
         // Upstreams whose entries were deleted during an outage and were not restored in time.
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -10,12 +10,17 @@
 //! Entries of upstreams that still run may be deleted during an outage of the store or shortly
 //! after it. They count as lapsed, and their upstreams are kept for a while.
 //!
+//! The store may be restored from a copy, which it then holds with higher revisions than before; see
+//! [`crate::revision`]. What is missing in the copy counts as lapsed, upstreams that are known to
+//! have left stay so, and the configuration and the owners of keys stay until later ones come.
+//!
 //! `serde(rename)` keeps the names that instances of other versions send and expect.
 
 use crate::{
     clock::Millis,
     collections::HashMap,
     keymap::KeyMap,
+    revision,
     routing_config::{RoutingConfig, UpstreamInfo},
 };
 use serde::{Deserialize, Serialize};
@@ -25,6 +30,9 @@
 /// may have lapsed in it: the store is tried again within 600 ms, and entries of live upstreams are
 /// restored within two seconds of its return.
 const LAPSE_GRACE_MS: Millis = 2_600;
+/// Time in milliseconds for which removed upstreams are remembered: several times the age of the
+/// copies from which the store is restored, which is some seconds.
+const REMOVAL_MEMORY_MS: Millis = 30_000;
 
 /// Kind of an entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -110,6 +118,9 @@
     new_lapses: Vec<(Arc<str>, Millis)>,
     /// Upstreams that have said in a response that they leave, and when these incarnations started.
     announced_leaving: HashMap<Arc<str>, u64>,
+    /// Upstreams whose entries were removed, when these incarnations started, and when they were
+    /// removed.
+    removed: HashMap<Arc<str>, (u64, Millis)>,
     /// The latest time at which the store is known not to have answered.
     store_away_at: Option<Millis>,
     /// The configuration in force.
@@ -120,6 +131,24 @@
     kind as usize
 }
 
+/// Returns whether the store was restored from a copy between two revisions.
+fn is_restored(old: &StateEntry, new: &StateEntry) -> bool {
+    revision::generation(old.revision) < revision::generation(new.revision)
+}
+
+/// Returns whether the new entry has owners from a copy of the store, and the old one has the same
+/// ones or some that were committed later.
+fn are_owners_outdated(old: &StateEntry, new: &StateEntry) -> bool {
+    let (Some(EntryValue::Owners(known)), Some(EntryValue::Owners(read))) =
+        (&old.value, &new.value)
+    else {
+        return false;
+    };
+    let fence = read.latest_fence();
+    revision::generation(fence) < revision::generation(new.revision)
+        && fence <= known.latest_fence()
+}
+
 fn is_leaving(entry: &StateEntry) -> bool {
     matches!(&entry.value, Some(EntryValue::Upstream(u)) if u.leaving)
 }
@@ -133,6 +162,7 @@
 
     fn merge_one(&mut self, now: Millis, entry: &StateEntry) -> bool {
         let entry_key = (entry.kind, entry.key.clone());
+        self.recall_leaving(now, entry);
         let entry = &self.with_announced_leaving(entry.clone());
         let old = self.entries.get(&entry_key);
         if old.is_some_and(|o| {
@@ -141,6 +171,9 @@
         }) {
             return false;
         }
+        if old.is_some_and(|o| are_owners_outdated(o, entry)) {
+            return false;
+        }
         if entry.kind == EntryKind::RoutingConfig {
             // An unreadable or older version never replaces the one in force.
             let Some(EntryValue::RoutingConfig(new)) = &entry.value else {
@@ -152,7 +185,7 @@
             self.routing_config = Some(new.clone());
         }
         if entry.kind == EntryKind::Upstream {
-            self.track_lapse(now, old.and_then(|o| o.value.clone()), entry);
+            self.track_lapse(now, old.cloned(), entry);
         }
         self.unpublished.push(entry.clone());
         self.entries.insert(entry_key, entry.clone());
@@ -190,6 +223,28 @@
         entry
     }
 
+    /// If an entry comes from a copy of the store, and its upstream is known to have left since,
+    /// notes that it has.
+    fn recall_leaving(&mut self, now: Millis, new: &StateEntry) {
+        let Some(EntryValue::Upstream(u)) = &new.value else {
+            return;
+        };
+        let old = self.entries.get(&(EntryKind::Upstream, new.key.clone()));
+        let Some(old) = old.filter(|o| is_restored(o, new)) else {
+            return;
+        };
+        let has_left = match &old.value {
+            Some(EntryValue::Upstream(o)) => o.leaving && o.is_incarnation(&u.id, u.started),
+            _ => self
+                .removed
+                .get(&u.id)
+                .is_some_and(|(started, at)| *started == u.started && now < at + REMOVAL_MEMORY_MS),
+        };
+        if has_left {
+            self.announced_leaving.insert(u.id.clone(), u.started);
+        }
+    }
+
     /// Returns the entries that changed since the last call.
     pub fn take_changes(&mut self) -> Vec<StateEntry> {
         std::mem::take(&mut self.unpublished)
@@ -199,17 +254,21 @@
     /// the upstream for a while, unless it was leaving.
     ///
     /// The deletion may also be a planned removal, so that time counts from the outage and not from
-    /// when the deletion became known.
-    fn track_lapse(&mut self, now: Millis, old: Option<EntryValue>, new: &StateEntry) {
-        let until = self.store_away_at.map_or(0, |t| t + LAPSE_GRACE_MS);
-        match (old, &new.value) {
-            (Some(EntryValue::Upstream(u)), None) if now < until && !u.leaving => {
-                self.new_lapses.push((new.key.clone(), until));
-                self.lapsed.insert(new.key.clone(), (u, until));
-            }
-            _ => {
-                self.lapsed.remove(&new.key);
-            }
+    /// when the deletion became known. An entry that a copy of the store lacks was not removed.
+    fn track_lapse(&mut self, now: Millis, old: Option<StateEntry>, new: &StateEntry) {
+        let restored = old.as_ref().is_some_and(|o| is_restored(o, new));
+        let away_at = if restored { Some(now) } else { self.store_away_at };
+        let until = away_at.map_or(0, |t| t + LAPSE_GRACE_MS);
+        self.lapsed.remove(&new.key);
+        let (Some(EntryValue::Upstream(u)), None) = (old.and_then(|o| o.value), &new.value) else {
+            return;
+        };
+        if now < until && !u.leaving {
+            self.new_lapses.push((new.key.clone(), until));
+            self.lapsed.insert(new.key.clone(), (u, until));
+        } else {
+            self.removed.retain(|_, (_, at)| now < *at + REMOVAL_MEMORY_MS);
+            self.removed.insert(new.key.clone(), (u.started, now));
         }
     }
 
--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -9,6 +9,7 @@
         Coordinator, GrantOrder, GrantTimes, OrderId, OrderOutcome, Reassignment, ReleaseOrder,
     },
     keymap::{KeyMap, KeyRange, Owner, Span},
+    revision,
 };
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -82,6 +83,8 @@
     IgnoresPredecessor,
     /// Upstreams' clocks run slower than assumed.
     ExcessiveDrift,
+    /// A new coordinator relies on the owners in a copy of the store.
+    TrustsCopy,
 }
 
 struct Simulation {
@@ -90,6 +93,8 @@
     upstreams: Vec<Upstream>,
     /// The store: committed owners and their revision.
     store: (KeyMap, u64),
+    /// Earlier committed owners and their revisions, which the store may go back to.
+    history: Vec<(KeyMap, u64)>,
     revision: u64,
     /// Latest committed fence of each key.
     fences: BTreeMap<u16, u64>,
@@ -116,6 +121,10 @@
     Restart(usize),
     /// Another instance takes the lease over and becomes the coordinator.
     Takeover,
+    /// The store goes back by some commits, while the coordinator's lease is valid.
+    Restore(usize),
+    /// The same, and another instance becomes the coordinator.
+    RestoreAndTakeover(usize),
     FailCommit,
     /// The coordinator is suspended for a time in milliseconds, and then commits before anything
     /// else.
@@ -151,6 +160,7 @@
             coordinator,
             upstreams,
             store,
+            history: Vec::new(),
             revision: 0,
             fences,
             in_transit: Vec::new(),
@@ -195,10 +205,22 @@
                 *fence = span.fence;
             }
         }
-        self.store = (map.clone(), self.revision);
+        let previous = std::mem::replace(&mut self.store, (map.clone(), self.revision));
+        self.history.push(previous);
         self.coordinator.on_committed(map, self.revision);
     }
 
+    /// Takes the store back by some commits; the numbers of their revisions are given out again.
+    fn restore(&mut self, commits: usize) {
+        let generation = revision::generation(self.revision) + 1;
+        let index = self.history.len().saturating_sub(commits);
+        if let Some(copy) = self.history.drain(index..).next() {
+            self.store = copy;
+        }
+        self.store.1 = revision::new(generation, revision::number(self.store.1));
+        self.revision = self.store.1;
+    }
+
     fn send_release(&mut self, order: &ReleaseOrder) {
         let now = self.now;
         let ignores_unanswered = self.bug == InjectedBug::IgnoresUnansweredGrants;
@@ -306,7 +328,27 @@
                 // The predecessor sends no more orders, but its grants still last.
                 let takeover_at =
                     if self.bug == InjectedBug::IgnoresPredecessor { 0 } else { self.now };
-                self.coordinator = Coordinator::new(takeover_at, TIMES, map, revision);
+                self.coordinator = if map.is_certain_at(revision) {
+                    Coordinator::new(takeover_at, TIMES, map, revision)
+                } else {
+                    Coordinator::with_uncertain_owners(takeover_at, TIMES, map, revision)
+                };
+                self.send_due_orders(Delivery::Answered);
+            }
+            Step::Restore(commits) => {
+                self.restore(*commits);
+                self.coordinator.on_store_restored(self.store.1);
+                self.send_due_orders(Delivery::Answered);
+            }
+            Step::RestoreAndTakeover(commits) => {
+                self.restore(*commits);
+                self.deliver_in_transit();
+                let (map, revision) = self.store.clone();
+                self.coordinator = if self.bug == InjectedBug::TrustsCopy {
+                    Coordinator::new(self.now, TIMES, map, revision)
+                } else {
+                    Coordinator::with_uncertain_owners(self.now, TIMES, map, revision)
+                };
                 self.send_due_orders(Delivery::Answered);
             }
             Step::Stall(ms) => {
@@ -368,6 +410,8 @@
         1 => (0usize..3).prop_map(Step::Reconnect),
         1 => (0usize..3).prop_map(Step::Restart),
         1 => Just(Step::Takeover),
+        1 => (1usize..4).prop_map(Step::Restore),
+        1 => (1usize..4).prop_map(Step::RestoreAndTakeover),
         1 => Just(Step::FailCommit),
         1 => (1u64..2_000).prop_map(Step::Stall),
     ]
@@ -404,6 +448,8 @@
         Step::Reconnect(0),
         Step::Restart(0),
         Step::Takeover,
+        Step::Restore(1),
+        Step::RestoreAndTakeover(1),
         Step::BeginMove(0, 1),
         Step::Stall(900),
     ];
@@ -437,6 +483,7 @@
     search_finds_release_ignoring_unanswered_grants: InjectedBug::IgnoresUnansweredGrants, 4;
     search_finds_takeover_ignoring_its_predecessor: InjectedBug::IgnoresPredecessor, 4;
     search_finds_clock_slower_than_assumed: InjectedBug::ExcessiveDrift, 4;
+    search_finds_takeover_that_trusts_a_copy: InjectedBug::TrustsCopy, 4;
 }
 
 /// A takeover by itself moves no keys: the same owners are granted them again with the same fences,
@@ -584,10 +631,25 @@
 /// has expired.
 #[test]
 fn unreadable_owners_delay_the_first_commit() {
-    let mut coordinator = Coordinator::with_unreadable_owners(START_MS, TIMES, 7);
+    let mut coordinator = Coordinator::with_uncertain_owners(START_MS, TIMES, KeyMap::default(), 7);
     let to = Owner { id: "u0".into(), started: 1 };
     let change = Reassignment { range: KeyRange::new(0, u16::MAX), to, owner_lost: false };
     coordinator.reassign(START_MS, &change);
     assert!(coordinator.next_commit(START_MS + TIMES.outage_hold).is_none());
     assert!(coordinator.next_commit(START_MS + TIMES.outage_hold + 700).is_some());
 }
+
+/// A coordinator whose lease is valid while the store is restored grants the same keys on, and
+/// commits them again with fences above all earlier ones.
+#[test]
+fn owners_are_committed_again_after_the_store_is_restored() {
+    let mut sim = Simulation::new(InjectedBug::None);
+    sim.apply(&Step::Move(0, 1));
+    let before = sim.store.0.clone();
+    sim.restore(1);
+    assert_ne!(sim.store.0, before);
+    sim.coordinator.on_store_restored(sim.store.1);
+    sim.send_due_orders(Delivery::Answered);
+    assert!(sim.store.0.spans.iter().zip(&before.spans).all(|(a, b)| a.owner == b.owner));
+    assert!(sim.store.0.spans.iter().all(|s| s.fence > before.latest_fence()));
+}
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -1,13 +1,17 @@
 //! The coordinator's lease: it is valid for at most one instance at a time, on clocks that only
 //! measure durations.
 
-use mulberryspur::lease::{
-    self, Lease, LeaseRow, MIN_READ_INTERVAL_MS, RENEW_INTERVAL_MS, TAKEOVER_WAIT_MS, VALIDITY_MS,
+use mulberryspur::{
+    lease::{
+        self, Lease, LeaseRow, MIN_READ_INTERVAL_MS, RENEW_INTERVAL_MS, TAKEOVER_WAIT_MS,
+        VALIDITY_MS,
+    },
+    revision,
 };
 use proptest::prelude::*;
 
 fn first_row(lease: &mut Lease) -> LeaseRow {
-    lease.next_row()
+    lease.next_row(0)
 }
 
 /// The store with the lease's row, three instances, and their pending writes.
@@ -30,14 +34,13 @@
 
     fn read_row(&mut self, n: usize) {
         let current = self.row.clone();
-        let read = current.as_ref().map(|r| (r, self.revision));
-        if let Some(expect) = self.leases[n].on_read(self.now, read) {
+        if let Some(expect) = self.leases[n].on_read(self.now, current.as_ref(), self.revision) {
             self.write(n, expect);
         }
     }
 
     fn write(&mut self, n: usize, expect: u64) {
-        let row = self.leases[n].next_row();
+        let row = self.leases[n].next_row(expect);
         self.writes.push((n, self.now, row, expect));
     }
 
@@ -47,11 +50,13 @@
             return;
         }
         let (n, sent, row, expect) = self.writes.remove(0);
-        if expect == self.revision {
+        // The store compares numbers only; an answer from a later generation proves nothing.
+        if revision::number(expect) == revision::number(self.revision) {
+            let is_proof = revision::generation(expect) == revision::generation(self.revision);
             self.history.push((self.row.take(), self.revision));
             self.revision += 1;
             self.row = Some(row);
-            if answered {
+            if answered && is_proof {
                 self.leases[n].on_written(sent, self.revision);
             }
         }
@@ -60,8 +65,10 @@
     /// Goes back by some writes; the revisions that they had are given out again.
     fn restore(&mut self, writes: usize) {
         let index = self.history.len().saturating_sub(writes);
+        let generation = revision::generation(self.revision) + 1;
         if let Some((row, revision)) = self.history.drain(index..).next() {
-            (self.row, self.revision) = (row, revision);
+            (self.row, self.revision) =
+                (row, revision::new(generation, revision::number(revision)));
         }
     }
 
@@ -131,7 +138,7 @@
 #[test]
 fn free_lease_is_taken_at_once() {
     let mut lease = Lease::new("e0", 1);
-    assert_eq!(lease.on_read(10, None), Some(0));
+    assert_eq!(lease.on_read(10, None, 0), Some(0));
     lease.on_written(10, 5);
     assert!(lease.is_valid(10 + VALIDITY_MS - 1));
     assert!(!lease.is_valid(10 + VALIDITY_MS));
@@ -142,10 +149,10 @@
     let mut holder = Lease::new("e0", 1);
     let held = first_row(&mut holder);
     let mut other = Lease::new("e1", 2);
-    assert_eq!(other.on_read(100, Some((&held, 5))), None);
-    assert_eq!(other.on_read(100 + TAKEOVER_WAIT_MS - 1, Some((&held, 5))), None);
-    assert_eq!(other.on_read(200, Some((&held, 6))), None, "a renewal restarts the wait");
-    assert_eq!(other.on_read(200 + TAKEOVER_WAIT_MS, Some((&held, 6))), Some(6));
+    assert_eq!(other.on_read(100, Some(&held), 5), None);
+    assert_eq!(other.on_read(100 + TAKEOVER_WAIT_MS - 1, Some(&held), 5), None);
+    assert_eq!(other.on_read(200, Some(&held), 6), None, "a renewal restarts the wait");
+    assert_eq!(other.on_read(200 + TAKEOVER_WAIT_MS, Some(&held), 6), Some(6));
 }
 
 #[test]
@@ -153,16 +160,45 @@
     let mut before = Lease::new("e0", 1);
     let held = first_row(&mut before);
     let mut after = Lease::new("e0", 2);
-    assert_eq!(after.on_read(100, Some((&held, 5))), Some(5));
+    assert_eq!(after.on_read(100, Some(&held), 5), Some(5));
+}
+
+/// In a restored store, a row that is free or was this instance's own may be older than a lease that
+/// another instance holds.
+#[test]
+fn restored_lease_is_taken_after_the_whole_wait() {
+    let mut before = Lease::new("e0", 1);
+    let (own, free) = (before.next_row(0), before.resignation_row(0));
+    for row in [Some(&own), Some(&free), None] {
+        let mut lease = Lease::new("e0", 2);
+        lease.on_read(0, Some(&own), 5);
+        let restored = revision::new(1, 4);
+        assert_eq!(lease.on_read(100, row, restored), None);
+        assert_eq!(lease.on_read(100 + TAKEOVER_WAIT_MS, row, restored), Some(restored));
+    }
+}
+
+/// A holder whose lease is valid goes on in a restored store, and one whose lease has ended waits.
+#[test]
+fn holder_goes_on_in_a_restored_store_while_its_lease_is_valid() {
+    let mut holder = Lease::new("e0", 1);
+    let mut other = Lease::new("e1", 2);
+    let row = other.next_row(0);
+    holder.on_written(0, 9);
+    let restored = revision::new(1, 4);
+    assert_eq!(holder.on_read(VALIDITY_MS - 1, Some(&row), restored), None);
+    assert_eq!(holder.held_revision(), Some(restored));
+    assert_eq!(holder.on_read(VALIDITY_MS, Some(&row), restored), None);
+    assert_eq!(holder.held_revision(), None);
 }
 
 #[test]
 fn lease_given_back_is_taken_at_once() {
     let mut holder = Lease::new("e0", 1);
     holder.on_written(0, 4);
-    let given_back = holder.resignation_row();
+    let given_back = holder.resignation_row(4);
     let mut other = Lease::new("e1", 2);
-    assert_eq!(other.on_read(100, Some((&given_back, 5))), Some(5));
+    assert_eq!(other.on_read(100, Some(&given_back), 5), Some(5));
 }
 
 /// Many instances cannot hear from the coordinator, which renews its lease all the same: each reads
@@ -171,15 +207,15 @@
 fn live_lease_is_read_rarely() {
     let mut holder = Lease::new("e0", 1);
     let mut watcher = Lease::new("e1", 2);
-    let (mut row, mut revision, mut reads, mut next_read) = (holder.next_row(), 1, 0, 0);
+    let (mut row, mut revision, mut reads, mut next_read) = (holder.next_row(0), 1, 0, 0);
     for now in 0..20_000 {
         if now % RENEW_INTERVAL_MS == 0 {
-            row = holder.next_row();
+            row = holder.next_row(0);
             revision += 1;
         }
         if now >= next_read {
             reads += 1;
-            assert_eq!(watcher.on_read(now, Some((&row, revision))), None);
+            assert_eq!(watcher.on_read(now, Some(&row), revision), None);
             next_read = now + watcher.read_delay(now);
         }
     }
@@ -191,13 +227,13 @@
 fn lapsed_lease_is_taken_over_in_time() {
     let mut holder = Lease::new("e0", 1);
     let mut watcher = Lease::new("e1", 2);
-    let row = holder.next_row();
+    let row = holder.next_row(0);
     let mut next_read = 0;
     let taken_at = (0..10_000).find(|now| {
         if *now < next_read {
             return false;
         }
-        let takeover = watcher.on_read(*now, Some((&row, 1)));
+        let takeover = watcher.on_read(*now, Some(&row), 1);
         next_read = now + watcher.read_delay(*now);
         takeover.is_some()
     });
--- a/tests/shared_state.rs
+++ b/tests/shared_state.rs
@@ -2,6 +2,8 @@
 
 use mulberryspur::{
     collections::HashMap,
+    keymap::{KeyMap, KeyRange, Owner, Span},
+    revision,
     routing_config::{CallerLimits, RoutingConfig, UpstreamInfo},
     shared_state::{EntryKind, EntryValue, SharedState, StateEntry},
 };
@@ -193,3 +195,46 @@
     state.merge(0, [deleted("later", 6)]);
     assert_eq!(upstream_ids(&state, 0), ["ended", "other"]);
 }
+
+fn owners(fence: u64, revision: u64) -> StateEntry {
+    let owner = Owner { id: "u".into(), started: 1 };
+    let range = KeyRange::new(0, u16::MAX);
+    let map = KeyMap { spans: vec![Span { range, owner, fence, handover: None }] };
+    let value = Some(EntryValue::Owners(Arc::new(map)));
+    StateEntry { kind: EntryKind::Owners, key: "s".into(), revision, value }
+}
+
+/// The store's copy has earlier numbers, and entries that have changed since.
+#[test]
+fn copy_of_the_store_brings_back_what_was_left_behind() {
+    let restored = |number| revision::new(1, number);
+    let mut state = SharedState::default();
+    let all = ["drained", "removed", "live", "new"];
+    state.merge(0, all.map(|id| upstream(id, 5, false)));
+    state.merge(0, [upstream("drained", 6, true), deleted("removed", 7)]);
+    state.merge(0, [routing_config(8), owners(9, 9)]);
+    let copy = all[..3].iter().map(|id| upstream(id, restored(4), false)).collect();
+    state.replace_kind(1_000, EntryKind::Upstream, restored(4), copy);
+    let leaving: Vec<_> = state.upstreams(1_000).filter(|u| u.leaving).collect();
+    assert_eq!(leaving.len(), 2, "{leaving:?}");
+    // The copy lacks `new`, which writes its entry again.
+    assert_eq!(upstream_ids(&state, 1_000), ["drained", "live", "new", "removed"]);
+    assert_eq!(upstream_ids(&state, 4_000), ["drained", "live", "removed"]);
+    // A version or owners from before are not taken over, later ones are, with lower numbers too.
+    let old = StateEntry { revision: restored(2), ..routing_config(7) };
+    assert!(!state.merge(1_000, [old, owners(3, restored(3))]));
+    let new = StateEntry { revision: restored(5), ..routing_config(9) };
+    assert!(state.merge(1_000, [new]));
+    assert!(state.merge(1_000, [owners(restored(4), restored(5))]));
+    assert_eq!(state.owners("s").map(|(_, r)| r), Some(restored(5)));
+}
+
+/// A removal that is older than any copy of the store says nothing about a live upstream.
+#[test]
+fn upstream_removed_long_before_the_store_is_restored_is_used() {
+    let mut state = SharedState::default();
+    state.merge(0, [upstream("a", 1, false)]);
+    state.merge(0, [deleted("a", 2)]);
+    state.merge(40_000, [upstream("a", revision::new(1, 1), false)]);
+    assert!(state.upstreams(40_000).all(|u| !u.leaving));
+}
