Failing test: idle instances exceed a limit together

64 instances that had few requests for two minutes hold one token each. When many come at once, an upstream with a limit of 4.9 a second gets 48 in four seconds, 34 are allowed.

--- a/tests/rate_limit.rs
+++ b/tests/rate_limit.rs
@@ -151,6 +151,18 @@
     limit_is_kept_when_demand_comes_at_once: 10, 3.0, |now| if now < 20_000 { 1 } else { 300 };
 }
 
+/// Hundreds of instances have had few requests for a minute, and get many at once.
+#[test]
+fn idle_instances_exceed_a_limit_together() {
+    for instances in [64, 195, 300] {
+        let rate = |now| if now < 120_000 { 5 } else { 400 };
+        let s = Scenario { instances, limit: 4.9, rate, end: 130_000 };
+        let (arrivals, _) = replay(s);
+        let most = most_in_window(&arrivals);
+        assert!(most <= allowed(s.limit), "{most} requests through {instances} instances");
+    }
+}
+
 /// Four fifths of the limit are used where demand is there.
 #[test]
 fn limit_is_used_where_demand_is_there() {
