Let tokens of a limit lapse where few instances may hold one

An upstream with a limit of 4.9 requests a second got 48 in four seconds through 64 instances, 34 allowed, when many came at once after two quiet minutes.

Cause: each bucket holds one token at least. All instances together may send two seconds of the limit and four requests at once; where they are more than that, the least bucket is too large: 64 tokens instead of 13.8. It also held for 12 instances and a limit of 1 a second.

Change: where an instance's part of what may be sent at once is less than one request, its token lapses when the next one has grown to that part. As tokens come in turn, only that many instances have one at any time.

With demand of 200 a second, four fifths of the limit are used through 195 and 300 instances too, which the test now asks for. With demand near the limit, more of it is left unused than before.

--- a/src/rate_limit.rs
+++ b/src/rate_limit.rs
@@ -4,6 +4,10 @@
 //! Answers the load of an upstream in need that goes on serving a little. No instance sees what the
 //! others send, so each has a token bucket with an equal share of the rate. The buckets get their
 //! tokens in turn, by a common clock, so that the requests of many instances are spread evenly.
+//!
+//! Also answers load that comes at once through many instances that had none: where the share of
+//! each in what may be sent at once is less than one request, a token that is not used lapses, so
+//! that at any time only that many instances have one.
 
 use crate::clock::Millis;
 
@@ -13,8 +17,7 @@
 /// Requests per second of all instances together to an upstream that takes fewer or none: without
 /// a response, its next limit would not become known.
 const MIN_RATE: f64 = 0.25;
-/// Seconds of the limit that all instances together may send at once, unless that is less than one
-/// request for each of them.
+/// Seconds of the limit that all instances together may send at once.
 const BURST_SECONDS: f64 = 2.0;
 /// Requests that all instances together may send at once beyond those seconds.
 const BURST_REQUESTS: f64 = 4.0;
@@ -120,10 +123,16 @@
     /// whether or not the bucket is full: tokens come at the same times.
     fn credit_at(&self, now: Millis) -> f64 {
         let burst = (self.per_second * BURST_SECONDS + BURST_REQUESTS) * self.share;
-        let burst = burst.floor().max(1.0);
         #[expect(clippy::cast_precision_loss, reason = "short spans")]
         let elapsed_ms = now.saturating_sub(self.updated_at) as f64;
         let credit = self.credit + elapsed_ms * self.rate();
+        if burst < 1.0 {
+            // A token lapses once the next one has grown to `burst`.
+            let part = credit.fract();
+            let held = if part < burst { 1.0 + part } else { part };
+            return if credit < 1.0 { credit } else { held };
+        }
+        let burst = burst.floor();
         if credit < burst + 1.0 { credit } else { burst + credit.fract() }
     }
 
--- a/tests/rate_limit.rs
+++ b/tests/rate_limit.rs
@@ -166,7 +166,7 @@
 /// Four fifths of the limit are used where demand is there.
 #[test]
 fn limit_is_used_where_demand_is_there() {
-    for instances in [4, 12, 64] {
+    for instances in [4, 12, 64, 195, 300] {
         let s = Scenario { instances, limit: 4.9, rate: |_| 200, end: 60_000 };
         let (arrivals, _) = replay(s);
         let used = arrivals.iter().filter(|at| **at >= 20_000).count();
