Skip messages of unknown kinds

An instance closed the link of one that sent it a kind of message it does not know, and the other opened it again, each time: every 700 ms beside an overloaded owner, as the kind for shares was new then.

Cause: what cannot be decoded as a message counted as a broken link. Now a well-formed value of another kind is skipped, with one log line for each link that names the kind; bytes that are no value still close the link.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -25,6 +25,7 @@
     shared_state::{Digest, EntryKind, PeerInfo, StateEntry},
     traffic::TrafficReport,
 };
+use ciborium::Value;
 use futures::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
@@ -321,7 +322,8 @@
         log::debug!(peer = address.to_string(); "WebSocket handshake failed or timed out");
         return;
     };
-    let hello = tokio::time::timeout(CONNECT_TIMEOUT, read_message(&mut link, address)).await;
+    let hello =
+        tokio::time::timeout(CONNECT_TIMEOUT, read_message(&mut link, address, &mut false)).await;
     let Ok(Ok(Some(Message::Hello { name }))) = hello else {
         log::debug!(peer = address.to_string(); "no hello message on a new link");
         return;
@@ -346,8 +348,13 @@
         .map_err(|e| interrupted("send message", peer, &e))
 }
 
-/// Reads the next message; `None` at the end of the link.
-async fn read_message(link: &mut Link, peer: SocketAddr) -> Result<Option<Message>> {
+/// Reads the next message of a known kind; `None` at the end of the link. Instances of later versions
+/// send other kinds, which are skipped.
+async fn read_message(
+    link: &mut Link,
+    peer: SocketAddr,
+    skipped: &mut bool,
+) -> Result<Option<Message>> {
     while let Some(frame) = link.next().await {
         let frame = frame.map_err(|e| interrupted("read message", peer, &e))?;
         let tungstenite::Message::Binary(bytes) = frame else {
@@ -357,20 +364,36 @@
             return Err(Error::invalid("read message", "message is too long"));
         }
         let message = ciborium::from_reader(&bytes[..]);
-        return message.map(Some).map_err(|e| interrupted("decode message", peer, &e));
+        let is_known = message.is_ok() || ciborium::from_reader::<Value, _>(&bytes[..]).is_err();
+        if is_known {
+            return message.map(Some).map_err(|e| interrupted("decode message", peer, &e));
+        }
+        if !std::mem::replace(skipped, true) {
+            let kind = kind_name(&bytes);
+            log::info!(peer = peer.to_string(), kind; "message of an unknown kind skipped");
+        }
     }
     Ok(None)
 }
 
+/// Returns the name of a message's kind.
+fn kind_name(bytes: &[u8]) -> Option<String> {
+    match ciborium::from_reader(bytes).ok()? {
+        Value::Map(entries) => entries.into_iter().next()?.0.into_text().ok(),
+        kind => kind.into_text().ok(),
+    }
+}
+
 async fn exchange_messages(
     node: &Rc<Node>,
     mut link: Link,
     peer: SocketAddr,
     mut rx: mpsc::Receiver<Message>,
 ) -> Result<()> {
+    let mut skipped = false;
     loop {
         let replies = tokio::select! {
-            message = read_message(&mut link, peer) => match message? {
+            message = read_message(&mut link, peer, &mut skipped) => match message? {
                 Some(message) => handle_message(node, message),
                 None => return Ok(()),
             },
