Take up upstreams again that return after a restore

An upstream whose entry had lapsed while it was cut off, and that wrote it again after the store was restored, would have been shunned for as long as it lives by instances that had seen the entry go. Found by reading, before any landing.

Cause: that memory held for any entry of a later generation. It is for entries of the copy, whose numbers are below that of the removal; one that was written since is taken up. With less than the copy's age since the restore, the number of a new entry may still be below; such an upstream counts as leaving.

live_upstream_is_shunned_after_the_store_is_restored failed before and passes.

--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -235,6 +235,8 @@
         };
         let has_left = match &old.value {
             Some(EntryValue::Upstream(o)) => o.leaving && o.is_incarnation(&u.id, u.started),
+            // The entry may also have been written since, by an upstream that lives on.
+            _ if revision::number(new.revision) >= revision::number(old.revision) => false,
             _ => self
                 .removed
                 .get(&u.id)
--- a/tests/shared_state.rs
+++ b/tests/shared_state.rs
@@ -229,12 +229,16 @@
     assert_eq!(state.owners("s").map(|(_, r)| r), Some(restored(5)));
 }
 
-/// A removal that is older than any copy of the store says nothing about a live upstream.
+/// A removal that is older than any copy of the store says nothing about a live upstream, and neither
+/// does one before an entry that was written since the restore.
 #[test]
-fn upstream_removed_long_before_the_store_is_restored_is_used() {
-    let mut state = SharedState::default();
-    state.merge(0, [upstream("a", 1, false)]);
-    state.merge(0, [deleted("a", 2)]);
-    state.merge(40_000, [upstream("a", revision::new(1, 1), false)]);
-    assert!(state.upstreams(40_000).all(|u| !u.leaving));
+fn live_upstream_is_shunned_after_the_store_is_restored() {
+    for (restored_at, number) in [(40_000, 1), (1_000, 3)] {
+        let mut state = SharedState::default();
+        state.merge(0, [upstream("a", 1, false)]);
+        state.merge(0, [deleted("a", 2)]);
+        state.merge(restored_at, [upstream("a", revision::new(1, number), false)]);
+        let leaving: Vec<bool> = state.upstreams(restored_at).map(|u| u.leaving).collect();
+        assert_eq!(leaving, [false], "at {restored_at}, number {number}");
+    }
 }
