--- a/src/lease.rs
+++ b/src/lease.rs
@@ -124,11 +124,11 @@
         // Without a row, the store may have been restored from a copy that lacks it.
         let restored = generation != row.map_or(0, |r| r.generation);
         let own_process = row.is_some_and(|r| r.process == self.process && r.holder.is_some());
-        let valid = self.is_valid(sent);
+        // A write whose answer was lost may have been carried out. In a restored store, no other
+        // instance takes the lease before this one's has ended.
+        let still_holds = if restored { self.is_valid(sent) } else { own_process };
         match &mut self.state {
-            // A write whose answer was lost may have been carried out. In a restored store, no
-            // other instance takes the lease before this one's has ended.
-            State::Holding { revision: held, .. } if if restored { valid } else { own_process } => {
+            State::Holding { revision: held, .. } if still_holds => {
                 *held = revision;
                 return None;
             }
