Failing tests: a renewal reaches the next incarnation of its upstream

Keys were to move to an upstream that had started again under its identity meanwhile; the grant was accepted, as it names the identity only, and forgotten at the next poll, as its incarnation had ended. The keys then moved on at once.

The coordinator's tests took it that a grant never reaches a later incarnation, and that the coordinator learns of a restart at once. Now grants go by identity, and the coordinator learns of restarts with a step of its own. It needs no restore: three steps do, a restart, its listing, a move.

--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -35,6 +35,8 @@
 #[derive(Debug, Clone)]
 struct Upstream {
     owner: Owner,
+    /// The incarnation that the coordinator knows.
+    listed: Owner,
     /// How much slower its clock runs, in thousandths.
     drift: u64,
     reachable: bool,
@@ -118,7 +120,11 @@
     Outage,
     Disconnect(usize),
     Reconnect(usize),
+    /// An upstream starts again under its identity. Grants name that only, so it may accept those
+    /// that were meant for the incarnation before.
     Restart(usize),
+    /// The coordinator learns of the current incarnation of an upstream.
+    List(usize),
     /// Another instance takes the lease over and becomes the coordinator.
     Takeover,
     /// The store goes back by some commits, while the coordinator's lease is valid.
@@ -146,6 +152,7 @@
         let upstreams = (0..3u64)
             .map(|n| Upstream {
                 owner: Owner { id: format!("u{n}").into(), started: 1 },
+                listed: Owner { id: format!("u{n}").into(), started: 1 },
                 drift: if bug == InjectedBug::ExcessiveDrift { 300 } else { n * 10 },
                 reachable: true,
                 keys: BTreeMap::new(),
@@ -176,12 +183,12 @@
     }
 
     fn upstream(&mut self, owner: &Owner) -> Option<&mut Upstream> {
-        self.upstreams.iter_mut().find(|u| u.owner == *owner)
+        self.upstreams.iter_mut().find(|u| u.owner.id == owner.id)
     }
 
     /// Sends the orders that are due, and commits owners if any key is free for its new owner.
     fn send_due_orders(&mut self, delivery: Delivery) {
-        let current: Vec<Owner> = self.upstreams.iter().map(|u| u.owner.clone()).collect();
+        let current: Vec<Owner> = self.upstreams.iter().map(|u| u.listed.clone()).collect();
         self.coordinator
             .on_owners_ended(|o| current.iter().any(|e| e.id == o.id && e.started > o.started));
         for order in self.coordinator.due_releases(self.now) {
@@ -320,6 +327,9 @@
                 u.owner.started += 1;
                 u.keys.clear();
                 u.late.clear();
+            }
+            Step::List(n) => {
+                self.upstreams[*n].listed = self.upstreams[*n].owner.clone();
                 self.send_due_orders(Delivery::Answered);
             }
             Step::Takeover => {
@@ -369,7 +379,7 @@
 
     fn reassign(&mut self, part: usize, to: usize) {
         let range = [KeyRange::new(0, 9_999), KeyRange::new(10_000, u16::MAX)][part];
-        let to = self.upstreams[to].owner.clone();
+        let to = self.upstreams[to].listed.clone();
         self.coordinator.reassign(self.now, &Reassignment { range, to, owner_lost: false });
     }
 
@@ -409,6 +419,7 @@
         1 => (0usize..3).prop_map(Step::Disconnect),
         1 => (0usize..3).prop_map(Step::Reconnect),
         1 => (0usize..3).prop_map(Step::Restart),
+        1 => (0usize..3).prop_map(Step::List),
         1 => Just(Step::Takeover),
         1 => (1usize..4).prop_map(Step::Restore),
         1 => (1usize..4).prop_map(Step::RestoreAndTakeover),
@@ -447,6 +458,7 @@
         Step::Disconnect(0),
         Step::Reconnect(0),
         Step::Restart(0),
+        Step::List(0),
         Step::Takeover,
         Step::Restore(1),
         Step::RestoreAndTakeover(1),
