Count grants by the identity of the upstream that may accept them

Two upstreams could hold a key: an upstream starts again under its identity, a renewal or a grant meant for the incarnation before reaches it, and it accepts it, as grants name the identity only. When the coordinator learned of the new incarnation, it forgot these grants and granted the keys to another upstream. Moves to an ended incarnation were even committed and granted after that.

It needs no restore: a renewal between the restart and its listing is enough, and the owners' spans were still renewed until the next plan, up to 250 ms after the listing.

Change: what an upstream may hold is looked up by identity. An owner whose upstream has started again at the same address gets no more grants; moves to it are dropped; keys move away from it once the new incarnation has released them or all grants have run out, and to the new incarnation itself at once. Only if it runs at another address are its grants forgotten, as none reached it there.

--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -11,6 +11,9 @@
 //! expire, the new owner is committed with a higher fence, and only then is the key granted to it.
 //! An unanswered grant may be carried out late, so a released key is free only once no such grant
 //! is left.
+//!
+//! Grants name an upstream's identity, not its incarnation, so one that has started again may accept
+//! those that were meant for the incarnation before: what it may hold goes by identity.
 
 use crate::{
     clock::Millis,
@@ -213,6 +216,8 @@
     refence_pending: bool,
     grants: Vec<RangeGrants>,
     moves: Vec<Move>,
+    /// Committed owners whose upstreams have started again; they get no more grants.
+    restarted: Vec<Owner>,
     next_order_id: OrderId,
 }
 
@@ -245,6 +250,7 @@
             revision,
             grants: Vec::new(),
             moves: Vec::new(),
+            restarted: Vec::new(),
             next_order_id: 1,
         }
     }
@@ -325,7 +331,8 @@
         let hold = if outage { self.times.outage_hold } else { self.times.hold };
         let moving = self.moving_ranges();
         let mut orders = Vec::new();
-        for span in self.owners.spans.clone() {
+        let granted = self.owners.spans.iter().filter(|s| !self.restarted.contains(&s.owner));
+        for span in granted.cloned().collect::<Vec<_>>() {
             for range in subtract(span.range, moving.iter().copied()) {
                 let index = self.range_grants_index(range, &span);
                 if self.grants[index].next_due_at > now {
@@ -451,12 +458,13 @@
         range: KeyRange,
         owner: &Owner,
     ) -> impl Iterator<Item = &InheritedGrant> {
-        self.inherited.iter().filter(move |i| i.range.overlaps(&range) && i.owner == *owner)
+        self.inherited.iter().filter(move |i| i.range.overlaps(&range) && i.owner.id == owner.id)
     }
 
     /// Returns when the last grant of a part of `range` to `owner` has expired.
     fn held_until(&self, range: KeyRange, owner: &Owner) -> Millis {
-        let sent = self.grants.iter().filter(|g| g.owner == *owner && g.range.overlaps(&range));
+        let sent =
+            self.grants.iter().filter(|g| g.owner.id == owner.id && g.range.overlaps(&range));
         let sent = sent.map(RangeGrants::expires_at).max().unwrap_or(0);
         sent.max(self.inherited_grants_until(range, owner))
     }
@@ -464,7 +472,8 @@
     /// Returns until when the owner may hold keys under an unanswered grant, or under one of an
     /// earlier coordinator that it may still accept.
     fn unanswered_until(&self, now: Millis, range: KeyRange, owner: &Owner) -> Millis {
-        let matching = self.grants.iter().filter(|g| g.owner == *owner && g.range.overlaps(&range));
+        let matching =
+            self.grants.iter().filter(|g| g.owner.id == owner.id && g.range.overlaps(&range));
         let latest = matching
             .flat_map(|g| g.unanswered.values())
             .map(UnansweredGrant::latest_expiry)
@@ -571,7 +580,8 @@
     /// transit, which could arrive after the release. A grant whose outcome is unknown may also be
     /// carried out after it, but [`Self::is_free`] waits for that.
     fn is_release_due(&self, now: Millis, m: &Move) -> bool {
-        let Some((owner, _)) = m.from.as_ref().filter(|_| !m.released) else {
+        let from = m.from.as_ref().filter(|(owner, _)| !m.released && owner.id != m.to.id);
+        let Some((owner, _)) = from else {
             return false;
         };
         let must_wait = m.release_order_id.is_some()
@@ -579,7 +589,7 @@
             || m.in_commit
             || self.refence_pending;
         let in_transit = |g: &RangeGrants| {
-            g.owner == *owner && g.range.overlaps(&m.range) && g.is_any_in_transit()
+            g.owner.id == owner.id && g.range.overlaps(&m.range) && g.is_any_in_transit()
         };
         !must_wait
             && !self.grants.iter().any(in_transit)
@@ -600,9 +610,10 @@
         }
     }
 
-    /// Forgets the grants of owners whose incarnation has ended, and counts moves away from them as
-    /// released: they hold nothing any more.
+    /// Forgets the grants of owners whose incarnation has ended, and whose upstream runs elsewhere,
+    /// and counts moves away from them as released: they hold nothing any more.
     pub fn on_owners_ended(&mut self, ended: impl Fn(&Owner) -> bool) {
+        self.moves.retain(|m| m.in_commit || !ended(&m.to));
         for m in &mut self.moves {
             if m.from.as_ref().is_some_and(|(owner, _)| ended(owner)) {
                 m.from = None;
@@ -613,9 +624,23 @@
         self.inherited.retain(|i| !ended(&i.owner));
     }
 
+    /// Stops granting to owners whose upstream has started again at the same address, and drops
+    /// moves to them. The later incarnation may have accepted grants since; they count as its own.
+    pub fn on_owners_restarted(&mut self, restarted: impl Fn(&Owner) -> bool) {
+        self.moves.retain(|m| m.in_commit || !restarted(&m.to));
+        let mut owners: Vec<Owner> =
+            self.owners.spans.iter().map(|s| &s.owner).filter(|o| restarted(o)).cloned().collect();
+        owners.dedup();
+        for i in &mut self.inherited {
+            // The later incarnation has not seen the fences of the one before.
+            i.fenced &= !restarted(&i.owner) || self.restarted.contains(&i.owner);
+        }
+        self.restarted = owners;
+    }
+
     /// Returns whether the previous owner can no longer serve the keys of a move.
     fn is_free(&self, now: Millis, m: &Move) -> bool {
-        let Some((owner, _)) = &m.from else {
+        let Some((owner, _)) = m.from.as_ref().filter(|(owner, _)| owner.id != m.to.id) else {
             return true;
         };
         if m.released {
--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -732,8 +732,19 @@
             upstreams.iter().any(|u| u.is_incarnation(&o.id, o.started) && !u.leaving)
         });
         // An incarnation has ended if a later one of the same upstream is listed.
-        coordinator
-            .on_owners_ended(|o| upstreams.iter().any(|u| u.id == o.id && u.started > o.started));
+        let by_id: HashMap<&str, &Arc<UpstreamInfo>> =
+            upstreams.iter().map(|u| (&*u.id, u)).collect();
+        let later = |o: &Owner| by_id.get(&*o.id).filter(|u| u.started > o.started);
+        for span in &coordinator.owners().spans {
+            if let (Some(u), None) = (later(&span.owner), self.addresses.get(&span.owner)) {
+                self.addresses.insert(span.owner.clone(), u.address);
+            }
+        }
+        let addresses = &self.addresses;
+        let has_moved =
+            |o: &Owner, u: &UpstreamInfo| addresses.get(o).is_some_and(|a| *a != u.address);
+        coordinator.on_owners_ended(|o| later(o).is_some_and(|u| has_moved(o, u)));
+        coordinator.on_owners_restarted(|o| later(o).is_some_and(|u| !has_moved(o, u)));
         let mut started_moves = Vec::new();
         if now >= self.planned_at + PLAN_INTERVAL_MS && self.uncertain_commit.is_none() && !settling
         {
--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -190,7 +190,7 @@
     fn send_due_orders(&mut self, delivery: Delivery) {
         let current: Vec<Owner> = self.upstreams.iter().map(|u| u.listed.clone()).collect();
         self.coordinator
-            .on_owners_ended(|o| current.iter().any(|e| e.id == o.id && e.started > o.started));
+            .on_owners_restarted(|o| current.iter().any(|e| e.id == o.id && e.started > o.started));
         for order in self.coordinator.due_releases(self.now) {
             self.send_release(&order);
         }
@@ -665,3 +665,23 @@
     assert!(sim.store.0.spans.iter().zip(&before.spans).all(|(a, b)| a.owner == b.owner));
     assert!(sim.store.0.spans.iter().all(|s| s.fence > before.latest_fence()));
 }
+
+/// Keys of an upstream that has started again at another address, which no grant for the incarnation
+/// before reaches, are free at once; so are keys for the later incarnation itself.
+#[test]
+fn keys_of_an_ended_incarnation_wait_for_its_grants() {
+    for (restarted, to) in [(false, 1), (true, 0)] {
+        let mut sim = Simulation::new(InjectedBug::None);
+        let ended = sim.upstreams[0].owner.clone();
+        sim.upstreams[0].owner.started += 1;
+        let to = sim.upstreams[to].owner.clone();
+        let change = Reassignment { range: KeyRange::new(0, u16::MAX), to, owner_lost: true };
+        sim.coordinator.reassign(sim.now, &change);
+        if restarted {
+            sim.coordinator.on_owners_restarted(|o| *o == ended);
+        } else {
+            sim.coordinator.on_owners_ended(|o| *o == ended);
+        }
+        assert!(sim.coordinator.next_commit(sim.now).is_some(), "restarted: {restarted}");
+    }
+}
