--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -216,7 +216,8 @@
     refence_pending: bool,
     grants: Vec<RangeGrants>,
     moves: Vec<Move>,
-    /// Committed owners whose upstreams have started again; they get no more grants.
+    /// Committed owners whose upstreams have started again: they are granted nothing more, but for
+    /// moments that make them accept a new fence.
     restarted: Vec<Owner>,
     next_order_id: OrderId,
 }
--- a/src/keymap.rs
+++ b/src/keymap.rs
@@ -108,8 +108,9 @@
 }
 
 impl KeyMap {
-    /// Returns whether the owners, read at `revision`, are the last ones that were committed: none
-    /// are known for certain that were committed before the store was restored from a copy.
+    /// Returns whether the owners, read at `revision`, are certainly the last ones that were
+    /// committed: they were committed since the store was last restored from a copy. Those that were
+    /// committed before may not be, as later commits are lost with the restore.
     #[must_use]
     pub fn is_certain_at(&self, revision: u64) -> bool {
         revision::generation(self.latest_fence()) == revision::generation(revision)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,7 @@
 //! - [`rebalance`] plans the owners of keys ([`placement`]) by the [`traffic`].
 //! - [`overload`] limits the requests for owners that are asked for more than they can serve.
 //! - [`rate_limit`] keeps the limits that upstreams name.
+//! - [`revision`] orders the store's changes, also after it was restored from a copy.
 //!
 //! # Both
 //!
