--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -1,8 +1,8 @@
 //! The coordinator against simulated upstreams that follow the platform's rules for grants:
 //! exhaustive search over short sequences of steps, and random longer ones.
 //!
-//! The checks do not rely on the coordinator: no key is ever held by two upstreams, and the
-//! committed fence of a key never decreases.
+//! The checks do not rely on the coordinator: no key is ever held by two upstreams, a key moves to
+//! another upstream with a higher fence only, and the committed fence of a key never decreases.
 
 use mulberryspur::{
     coordinator::{
@@ -12,7 +12,7 @@
     revision,
 };
 use proptest::prelude::*;
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 const TIMES: GrantTimes =
     GrantTimes { hold: 4_500, outage_hold: 10_000, renew_interval: 1_200, retry_delay: 250 };
@@ -87,6 +87,9 @@
     ExcessiveDrift,
     /// A new coordinator relies on the owners in a copy of the store.
     TrustsCopy,
+    /// Once all earlier grants have expired, a new coordinator grants the keys of the copy's owners
+    /// with the copy's fences.
+    GrantsCopyFences,
 }
 
 struct Simulation {
@@ -100,6 +103,16 @@
     revision: u64,
     /// Latest committed fence of each key.
     fences: BTreeMap<u16, u64>,
+    /// Highest fence with which each upstream has accepted a key.
+    accepted_fences: BTreeMap<(u16, Arc<str>), u64>,
+    /// Until when commits are not answered.
+    unanswered_until: u64,
+    /// A commit that has not been answered, and whether it was carried out.
+    unanswered_commit: Option<(KeyMap, bool)>,
+    /// Whether commits that get no answer are carried out.
+    carry_out_lost: bool,
+    /// When the coordinator took over from a copy of the store, until its next commit.
+    took_over_copy_at: Option<u64>,
     /// Grants that are in transit, and answered when they arrive.
     in_transit: Vec<GrantOrder>,
     bug: InjectedBug,
@@ -132,6 +145,8 @@
     /// The same, and another instance becomes the coordinator.
     RestoreAndTakeover(usize),
     FailCommit,
+    /// Commits get no answer for a time in milliseconds; the first one is carried out or not.
+    LoseCommitAnswers(u64, bool),
     /// The coordinator is suspended for a time in milliseconds, and then commits before anything
     /// else.
     Stall(u64),
@@ -170,6 +185,11 @@
             history: Vec::new(),
             revision: 0,
             fences,
+            accepted_fences: BTreeMap::new(),
+            unanswered_until: 0,
+            unanswered_commit: None,
+            carry_out_lost: false,
+            took_over_copy_at: None,
             in_transit: Vec::new(),
             bug,
         };
@@ -194,16 +214,60 @@
         for order in self.coordinator.due_releases(self.now) {
             self.send_release(&order);
         }
-        if let Some(map) = self.coordinator.next_commit(self.now) {
-            self.commit(map);
-        }
+        self.commit_if_due();
         for order in self.coordinator.due_grants(self.now, false) {
             self.send_grant(order, delivery);
         }
+        if self.bug == InjectedBug::GrantsCopyFences {
+            self.grant_copied_owners();
+        }
         self.assert_at_most_one_holder();
     }
 
+    fn grant_copied_owners(&mut self) {
+        if self.took_over_copy_at.is_none_or(|t| self.now < t + 10_700) {
+            return;
+        }
+        for s in self.coordinator.owners().spans.clone() {
+            let (range, owner, fence, hold) = (s.range, s.owner, s.fence, TIMES.hold);
+            let order = GrantOrder { id: 0, range, owner, fence, hold, handover: None };
+            self.send_grant(order, Delivery::Answered);
+        }
+    }
+
+    /// Commits owners if any key is free for its new owner. As long as a commit is not answered, it
+    /// is the only one.
+    fn commit_if_due(&mut self) {
+        if self.unanswered_commit.is_none() {
+            let Some(map) = self.coordinator.next_commit(self.now) else {
+                return;
+            };
+            self.unanswered_commit = Some((map, false));
+        }
+        let lost = self.now < self.unanswered_until;
+        let Some((map, done)) = self.unanswered_commit.take() else {
+            return;
+        };
+        match (lost, done) {
+            (true, _) => {
+                let done = done || self.carry_out_lost;
+                if done && self.store.0 != map {
+                    self.store_owners(map.clone());
+                }
+                self.unanswered_commit = Some((map, done));
+            }
+            (false, true) => self.coordinator.on_committed(map, self.revision),
+            (false, false) => self.commit(map),
+        }
+    }
+
     fn commit(&mut self, map: KeyMap) {
+        self.store_owners(map.clone());
+        self.coordinator.on_committed(map, self.revision);
+        self.took_over_copy_at = None;
+    }
+
+    fn store_owners(&mut self, map: KeyMap) {
         self.revision += 1;
         for span in &map.spans {
             for key in KEYS.into_iter().filter(|k| span.range.contains(*k)) {
@@ -212,13 +276,13 @@
                 *fence = span.fence;
             }
         }
-        let previous = std::mem::replace(&mut self.store, (map.clone(), self.revision));
+        let previous = std::mem::replace(&mut self.store, (map, self.revision));
         self.history.push(previous);
-        self.coordinator.on_committed(map, self.revision);
     }
 
     /// Takes the store back by some commits; the numbers of their revisions are given out again.
     fn restore(&mut self, commits: usize) {
+        self.unanswered_commit = None;
         let generation = revision::generation(self.revision) + 1;
         let index = self.history.len().saturating_sub(commits);
         if let Some(copy) = self.history.drain(index..).next() {
@@ -258,7 +322,10 @@
             let id = order.id;
             let reached = self.upstream(&order.owner).filter(|u| u.reachable);
             let outcome = match reached.map(|u| u.grant(now, &order)) {
-                Some(true) => OrderOutcome::Done(None),
+                Some(true) => {
+                    self.record_accepted(&order);
+                    OrderOutcome::Done(None)
+                }
                 Some(false) => OrderOutcome::Refused,
                 None => OrderOutcome::Unknown,
             };
@@ -280,15 +347,36 @@
                 u.late.push((now + TRANSIT_MS, order));
                 OrderOutcome::Unknown
             }
-            Some(u) => match (u.grant(now + TRANSIT_MS, &order), delivery) {
-                (_, Delivery::AnswerLost) => OrderOutcome::Unknown,
-                (true, _) => OrderOutcome::Done(None),
-                (false, _) => OrderOutcome::Refused,
-            },
+            Some(u) => {
+                let accepted = u.grant(now + TRANSIT_MS, &order);
+                if accepted {
+                    self.record_accepted(&order);
+                }
+                match (accepted, delivery) {
+                    (_, Delivery::AnswerLost) => OrderOutcome::Unknown,
+                    (true, _) => OrderOutcome::Done(None),
+                    (false, _) => OrderOutcome::Refused,
+                }
+            }
         };
         self.coordinator.on_grant_outcome(now, id, &outcome);
     }
 
+    /// Checks that no other upstream has accepted the keys with an equal or higher fence. Grants that
+    /// are carried out late do not count.
+    fn record_accepted(&mut self, order: &GrantOrder) {
+        for key in KEYS.into_iter().filter(|k| order.range.contains(*k)) {
+            let id = &order.owner.id;
+            let elsewhere =
+                self.accepted_fences.iter().filter(|((k, other), _)| *k == key && other != id);
+            let highest = elsewhere.map(|(_, fence)| *fence).max().unwrap_or(0);
+            let fence = order.fence;
+            assert!(fence > highest, "key {key} moved with fence {fence} after {highest}");
+            let accepted = self.accepted_fences.entry((key, id.clone())).or_default();
+            *accepted = fence.max(*accepted);
+        }
+    }
+
     fn apply(&mut self, step: &Step) {
         match step {
             Step::Wait(ms) => {
@@ -334,6 +422,7 @@
             }
             Step::Takeover => {
                 self.deliver_in_transit();
+                self.unanswered_commit = None;
                 let (map, revision) = self.store.clone();
                 // The predecessor sends no more orders, but its grants still last.
                 let takeover_at =
@@ -341,6 +430,7 @@
                 self.coordinator = if map.is_certain_at(revision) {
                     Coordinator::new(takeover_at, TIMES, map, revision)
                 } else {
+                    self.took_over_copy_at = Some(self.now);
                     Coordinator::with_uncertain_owners(takeover_at, TIMES, map, revision)
                 };
                 self.send_due_orders(Delivery::Answered);
@@ -353,6 +443,7 @@
             Step::RestoreAndTakeover(commits) => {
                 self.restore(*commits);
                 self.deliver_in_transit();
+                self.took_over_copy_at = Some(self.now);
                 let (map, revision) = self.store.clone();
                 self.coordinator = if self.bug == InjectedBug::TrustsCopy {
                     Coordinator::new(self.now, TIMES, map, revision)
@@ -363,13 +454,17 @@
             }
             Step::Stall(ms) => {
                 self.now += ms;
-                if let Some(map) = self.coordinator.next_commit(self.now) {
-                    self.commit(map);
-                }
+                self.commit_if_due();
                 self.send_due_orders(Delivery::Answered);
             }
+            Step::LoseCommitAnswers(ms, carried_out) => {
+                self.unanswered_until = self.now + ms;
+                self.carry_out_lost = *carried_out;
+            }
             Step::FailCommit => {
-                if self.coordinator.next_commit(self.now).is_some() {
+                if self.unanswered_commit.is_none()
+                    && self.coordinator.next_commit(self.now).is_some()
+                {
                     self.coordinator.on_commit_failed();
                 }
             }
@@ -424,6 +519,7 @@
         1 => (1usize..4).prop_map(Step::Restore),
         1 => (1usize..4).prop_map(Step::RestoreAndTakeover),
         1 => Just(Step::FailCommit),
+        1 => (1u64..8_000, any::<bool>()).prop_map(|(ms, done)| Step::LoseCommitAnswers(ms, done)),
         1 => (1u64..2_000).prop_map(Step::Stall),
     ]
 }
@@ -449,6 +545,7 @@
     let steps = [
         Step::Wait(700),
         Step::Wait(4_700),
+        Step::Wait(10_800),
         Step::Move(0, 1),
         Step::Move(0, 0),
         Step::Deliver(Delivery::CarriedOutLate),
@@ -464,6 +561,7 @@
         Step::RestoreAndTakeover(1),
         Step::BeginMove(0, 1),
         Step::Stall(900),
+        Step::LoseCommitAnswers(11_000, false),
     ];
     let total = steps.len().pow(u32::try_from(depth).unwrap());
     for n in 0..total {
@@ -482,9 +580,9 @@
 }
 
 macro_rules! injected_bugs {
-    ($($name:ident: $bug:expr, $depth:expr;)*) => {$(
+    ($($name:ident: $bug:expr, $depth:expr, $message:expr;)*) => {$(
         #[test]
-        #[should_panic(expected = "has owners")]
+        #[should_panic(expected = $message)]
         fn $name() {
             search($bug, $depth);
         }
@@ -492,10 +590,11 @@
 }
 
 injected_bugs! {
-    search_finds_release_ignoring_unanswered_grants: InjectedBug::IgnoresUnansweredGrants, 4;
-    search_finds_takeover_ignoring_its_predecessor: InjectedBug::IgnoresPredecessor, 4;
-    search_finds_clock_slower_than_assumed: InjectedBug::ExcessiveDrift, 4;
-    search_finds_takeover_that_trusts_a_copy: InjectedBug::TrustsCopy, 4;
+    search_finds_release_ignoring_unanswered_grants: InjectedBug::IgnoresUnansweredGrants, 4, "has owners";
+    search_finds_takeover_ignoring_its_predecessor: InjectedBug::IgnoresPredecessor, 4, "has owners";
+    search_finds_clock_slower_than_assumed: InjectedBug::ExcessiveDrift, 4, "has owners";
+    search_finds_takeover_that_trusts_a_copy: InjectedBug::TrustsCopy, 4, "has owners";
+    search_finds_grants_with_the_fences_of_a_copy: InjectedBug::GrantsCopyFences, 4, "moved with fence";
 }
 
 /// A takeover by itself moves no keys: the same owners are granted them again with the same fences,
@@ -639,6 +738,21 @@
     );
 }
 
+/// A coordinator that took over from a copy of the store, and whose commit is not answered, granted
+/// the copy's owners their keys with the copy's fences, after another upstream had had a higher one.
+#[test]
+fn key_is_granted_with_the_fence_of_a_copy() {
+    run_steps(
+        InjectedBug::None,
+        &[
+            Step::Move(0, 1),
+            Step::RestoreAndTakeover(1),
+            Step::LoseCommitAnswers(11_000, false),
+            Step::Wait(10_800),
+        ],
+    );
+}
+
 /// Where the committed owners cannot be read, no key is assigned before the longest possible grant
 /// has expired.
 #[test]
