Grant no key before the owners are certain

Cause: a coordinator that takes over from a copy of the store waits until every earlier grant must have run out, and then due_grants sent the owners of the copy their keys with the copy's fences, as the moment that it waited for was all that it checked. The commit with new fences came after, or much later if its answer was lost. Keys that had moved since the copy had been held elsewhere with higher fences: two owners cannot be had by then, but a fence that falls can. The class of fault: a condition that is replaced by the time after which it usually holds.

Now the owners stay uncertain until a commit of this coordinator is through, and nothing is granted before that. The new fences are of the store's present generation, so they are above all earlier ones.

--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -208,10 +208,11 @@
     /// Revision of the owners that earlier coordinators committed last: no grant of theirs has a
     /// higher fence.
     inherited_revision: u64,
-    /// Until when upstreams that are not known as owners may hold keys, so that none is granted or
-    /// committed: 0, or, if the committed owners are not known for certain, when the last grant of
-    /// an earlier coordinator must have expired.
-    unknown_grants_until: Millis,
+    /// If the committed owners are not known for certain, when the last grant of an earlier
+    /// coordinator must have expired. Until then no owners are committed, as upstreams that are not
+    /// known as owners may hold keys. No key is granted before that commit: keys may have been held
+    /// elsewhere with higher fences than those of the owners that are known.
+    uncertain_until: Option<Millis>,
     /// Whether the next commit gives all keys a new fence.
     refence_pending: bool,
     grants: Vec<RangeGrants>,
@@ -245,7 +246,7 @@
             inherited,
             inherited_until: latest_expiry(now, times.outage_hold),
             inherited_revision: revision,
-            unknown_grants_until: 0,
+            uncertain_until: None,
             refence_pending: !owners.spans.is_empty(),
             owners,
             revision,
@@ -266,8 +267,8 @@
         owners: KeyMap,
         revision: u64,
     ) -> Self {
-        let unknown_grants_until = latest_expiry(now, times.outage_hold);
-        Self { unknown_grants_until, ..Self::new(now, times, owners, revision) }
+        let uncertain_until = Some(latest_expiry(now, times.outage_hold));
+        Self { uncertain_until, ..Self::new(now, times, owners, revision) }
     }
 
     /// Returns the committed owners.
@@ -325,7 +326,7 @@
     /// Returns the grants that are due, and records them as sent at `now`; `outage` tells whether
     /// the store does not answer.
     pub fn due_grants(&mut self, now: Millis, outage: bool) -> Vec<GrantOrder> {
-        if now < self.unknown_grants_until {
+        if self.uncertain_until.is_some() {
             return Vec::new();
         }
         self.grants.retain(|g| g.expires_at() > now || g.next_due_at > now);
@@ -654,7 +655,7 @@
     /// is free for its new owner and no new fence is pending, or while the owners are uncertain:
     /// with a new fence, they would look certain to the next coordinator.
     pub fn next_commit(&mut self, now: Millis) -> Option<KeyMap> {
-        if now < self.unknown_grants_until {
+        if self.uncertain_until.is_some_and(|until| now < until) {
             return None;
         }
         let free: Vec<bool> = self.moves.iter().map(|m| self.is_free(now, m)).collect();
@@ -691,6 +692,7 @@
         self.revision = revision;
         self.moves.retain(|m| !m.in_commit);
         self.refence_pending = false;
+        self.uncertain_until = None;
     }
 
     /// Records that the store was restored from a copy, in which the row of the owners has
