Ask upstreams to release what the known owners do not give them

Cause: a coordinator that cannot be sure of the last owners waited until the longest grant that anyone could have sent had run out, though in nearly every case nothing had moved. Time was the only evidence that it asked for. The class of fault: waiting out what those concerned could say.

Now it asks the upstreams: each is to release all keys but those that the known owners give it, with the fence of the next commit. Releases are never refused. Where the known owners are the last ones, no key that is served is released. Once all have answered, each key is held by its known owner or by none, and the owners are committed with new fences and granted. If an upstream does not answer, the wait of before remains.

Why it is safe: - A release raises the fence that the upstream has seen, so that grants of earlier coordinators that are in transit or carried out late are refused. An instance that has not run for 15 s waits as before, unless it started together with the whole system, and leaves the lease to others for 3.5 s. - An answer of another upstream at the address (421) shows that the one that was asked has ended.

--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -19,6 +19,7 @@
     clock::Millis,
     collections::HashMap,
     keymap::{KeyMap, KeyRange, Owner, Span, subtract},
+    sweep::Sweep,
 };
 use std::sync::Arc;
 
@@ -90,9 +91,11 @@
 pub enum OrderOutcome {
     /// It was carried out; a release may return handover data for the next owner.
     Done(Option<Arc<str>>),
-    /// The upstream refused it and will not carry it out: it has seen a higher fence, is not the
-    /// one that was meant, or does not accept the order.
+    /// The upstream refused it and will not carry it out: it has seen a higher fence, or does not
+    /// accept the order.
     Refused,
+    /// Another upstream has the address, so the one that was meant has ended or runs elsewhere.
+    OtherUpstream,
     /// It did not reach the upstream.
     NotSent,
     /// It may be carried out at any later time.
@@ -208,11 +211,8 @@
     /// Revision of the owners that earlier coordinators committed last: no grant of theirs has a
     /// higher fence.
     inherited_revision: u64,
-    /// If the committed owners are not known for certain, when the last grant of an earlier
-    /// coordinator must have expired. Until then no owners are committed, as upstreams that are not
-    /// known as owners may hold keys. No key is granted before that commit: keys may have been held
-    /// elsewhere with higher fences than those of the owners that are known.
-    uncertain_until: Option<Millis>,
+    /// Whether and how the committed owners are not known for certain.
+    uncertainty: Option<Uncertainty>,
     /// Whether the next commit gives all keys a new fence.
     refence_pending: bool,
     grants: Vec<RangeGrants>,
@@ -223,6 +223,29 @@
     next_order_id: OrderId,
 }
 
+/// The state of a coordinator that does not know the last owners for certain, until its first commit.
+///
+/// Until the end of the sweep, or until every grant of an earlier coordinator must have expired, no
+/// owners are committed, as upstreams that are not known as owners may hold keys. No key is granted
+/// before that commit: keys may have been held elsewhere with higher fences than those of the owners
+/// that are known.
+#[derive(Debug)]
+struct Uncertainty {
+    /// When a sweep may begin: what earlier coordinators have sent must have arrived, as an upstream
+    /// that starts again after its release has seen no fence.
+    sweep_at: Millis,
+    /// The sweep, once it has begun.
+    sweep: Option<Sweep>,
+    /// When the last grant of an earlier coordinator must have expired.
+    until: Millis,
+}
+
+impl Uncertainty {
+    fn may_commit(&self, now: Millis) -> bool {
+        now >= self.until || self.sweep.as_ref().is_some_and(|s| s.pending().next().is_none())
+    }
+}
+
 /// Returns how long a grant lasts from its arrival at most, if the upstream's clock is the slowest.
 fn max_hold(hold: Millis) -> Millis {
     hold + hold * MAX_CLOCK_DRIFT_PER_MILLE / 1_000
@@ -246,7 +269,7 @@
             inherited,
             inherited_until: latest_expiry(now, times.outage_hold),
             inherited_revision: revision,
-            uncertain_until: None,
+            uncertainty: None,
             refence_pending: !owners.spans.is_empty(),
             owners,
             revision,
@@ -258,8 +281,9 @@
     }
 
     /// Creates the state of a new coordinator where the committed owners are not known for certain,
-    /// as their row cannot be read or comes from a copy of the store: no key is granted before the
-    /// longest grant to an unknown owner has expired.
+    /// as their row cannot be read or comes from a copy of the store: no key is granted before all
+    /// upstreams have released what these owners do not give them, see
+    /// [`Self::due_sweep_releases`], or the longest grant to an unknown owner has expired.
     #[must_use]
     pub fn with_uncertain_owners(
         now: Millis,
@@ -267,8 +291,12 @@
         owners: KeyMap,
         revision: u64,
     ) -> Self {
-        let uncertain_until = Some(latest_expiry(now, times.outage_hold));
-        Self { uncertain_until, ..Self::new(now, times, owners, revision) }
+        let uncertainty = Uncertainty {
+            sweep_at: now + GRANT_TRANSIT_MS + LAST_PACKET_MS,
+            sweep: None,
+            until: latest_expiry(now, times.outage_hold),
+        };
+        Self { uncertainty: Some(uncertainty), ..Self::new(now, times, owners, revision) }
     }
 
     /// Returns the committed owners.
@@ -326,7 +354,7 @@
     /// Returns the grants that are due, and records them as sent at `now`; `outage` tells whether
     /// the store does not answer.
     pub fn due_grants(&mut self, now: Millis, outage: bool) -> Vec<GrantOrder> {
-        if self.uncertain_until.is_some() {
+        if self.uncertainty.is_some() {
             return Vec::new();
         }
         self.grants.retain(|g| g.expires_at() > now || g.next_due_at > now);
@@ -414,7 +442,7 @@
                     self.mark_fenced(range, &owner);
                 }
             }
-            OrderOutcome::Refused | OrderOutcome::NotSent => {
+            OrderOutcome::Refused | OrderOutcome::OtherUpstream | OrderOutcome::NotSent => {
                 g.unanswered.remove(&id);
                 g.next_due_at = g.next_due_at.min(retry_at);
             }
@@ -562,6 +590,42 @@
         orders
     }
 
+    /// Returns whether no owners can be committed at `now`, as the last ones are not known for
+    /// certain.
+    #[must_use]
+    pub fn is_uncertain(&self, now: Millis) -> bool {
+        self.uncertainty.as_ref().is_some_and(|u| !u.may_commit(now))
+    }
+
+    /// Returns the upstreams that a sweep waits for.
+    pub fn sweep_pending(&self) -> impl Iterator<Item = &Arc<str>> {
+        let sweep = self.uncertainty.as_ref().and_then(|u| u.sweep.as_ref());
+        sweep.into_iter().flat_map(Sweep::pending)
+    }
+
+    /// Returns the due releases of the sweep that makes the owners certain, and records them as sent;
+    /// `holders` are all upstreams, at their last known incarnations, that may hold keys.
+    ///
+    /// Once all have released what the known owners do not give them, the next commit is due.
+    pub fn due_sweep_releases(&mut self, now: Millis, holders: &[Owner]) -> Vec<ReleaseOrder> {
+        let Some(uncertainty) = self.uncertainty.as_mut().filter(|u| now >= u.sweep_at) else {
+            return Vec::new();
+        };
+        let sweep = uncertainty.sweep.get_or_insert_default();
+        // Known owners may hold keys too, listed or not.
+        let is_listed = |o: &Owner| holders.iter().any(|h| h.id == o.id);
+        let owners = self.owners.spans.iter().map(|s| &s.owner).filter(|o| !is_listed(o));
+        let mut upstreams: Vec<Owner> = holders.iter().chain(owners).cloned().collect();
+        upstreams.dedup();
+        let next_order_id = &mut self.next_order_id;
+        let new_order_id = || {
+            let id = *next_order_id;
+            *next_order_id += 1;
+            id
+        };
+        sweep.due_releases(now, &self.owners, self.revision + 1, &upstreams, new_order_id)
+    }
+
     /// Returns the releases that are due, and records them as sent.
     pub fn due_releases(&mut self, now: Millis) -> Vec<ReleaseOrder> {
         let due = (0..self.moves.len()).filter(|n| self.is_release_due(now, &self.moves[*n]));
@@ -600,6 +664,10 @@
 
     /// Handles the outcome of a release.
     pub fn on_release_outcome(&mut self, now: Millis, id: OrderId, outcome: &OrderOutcome) {
+        let sweep = self.uncertainty.as_mut().and_then(|u| u.sweep.as_mut());
+        if sweep.is_some_and(|s| s.on_outcome(now, id, outcome)) {
+            return;
+        }
         let Some(m) = self.moves.iter_mut().find(|m| m.release_order_id == Some(id)) else {
             return;
         };
@@ -655,7 +723,7 @@
     /// is free for its new owner and no new fence is pending, or while the owners are uncertain:
     /// with a new fence, they would look certain to the next coordinator.
     pub fn next_commit(&mut self, now: Millis) -> Option<KeyMap> {
-        if self.uncertain_until.is_some_and(|until| now < until) {
+        if self.uncertainty.as_ref().is_some_and(|u| !u.may_commit(now)) {
             return None;
         }
         let free: Vec<bool> = self.moves.iter().map(|m| self.is_free(now, m)).collect();
@@ -692,7 +760,7 @@
         self.revision = revision;
         self.moves.retain(|m| !m.in_commit);
         self.refence_pending = false;
-        self.uncertain_until = None;
+        self.uncertainty = None;
     }
 
     /// Records that the store was restored from a copy, in which the row of the owners has
--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -19,6 +19,7 @@
     rebalance, revision,
     routing_config::UpstreamInfo,
     shared_state::{EntryKind, EntryValue, StateEntry},
+    sweep::UpstreamMemory,
     traffic::{TrafficReport, TrafficStats},
 };
 use futures::future::LocalBoxFuture;
@@ -53,6 +54,8 @@
 /// Least time in milliseconds between a failed store call and the next one; a renewal that failed
 /// also waits for [`lease::RENEW_INTERVAL_MS`].
 const CALL_RETRY_DELAY_MS: Millis = 120;
+/// Time in milliseconds between two notes of the listed upstreams.
+const REMEMBER_INTERVAL_MS: Millis = 500;
 /// Time in milliseconds between two runs of [`rebalance::plan`].
 const PLAN_INTERVAL_MS: Millis = 250;
 /// Time in milliseconds for which the number of upstreams must be stable before the first owners
@@ -73,6 +76,9 @@
 const GRANT_RENEW_INTERVAL_MS: Millis = 1_200;
 /// Time in milliseconds until a failed grant is sent again.
 const GRANT_RETRY_DELAY_MS: Millis = 250;
+/// Time in milliseconds after the first listing of a restored store for which a lease is left to
+/// instances that have run for long: these wait for 2.1 s.
+const LEASE_PRECEDENCE_MS: Millis = 3_500;
 /// Time for giving all leases back at a planned stop.
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -127,6 +133,12 @@
     /// The owners whose shares were announced last.
     overloaded_owners: Vec<Arc<str>>,
     addresses: HashMap<Owner, SocketAddr>,
+    /// Upstreams that may hold keys, in case the last owners become uncertain.
+    upstream_memory: UpstreamMemory,
+    /// When the listed upstreams were last noted there.
+    remembered_at: Millis,
+    /// The last known number of upstreams that a sweep waits for.
+    sweep_pending: Option<usize>,
     /// When the pending call to the store was sent.
     call_sent_at: Option<Millis>,
     /// Owners whose commit may have been or may still be carried out: its outcome is unknown, or it
@@ -187,6 +199,9 @@
         overload: OverloadMonitor::default(),
         overloaded_owners: Vec::new(),
         addresses: HashMap::default(),
+        upstream_memory: UpstreamMemory::new(now, if node.cfg.first_start { 0 } else { now }),
+        remembered_at: 0,
+        sweep_pending: None,
         call_sent_at: None,
         uncertain_commit: None,
         reread_lease: false,
@@ -316,6 +331,7 @@
             self.reported_at = now;
             self.send_report();
         }
+        self.remember_upstreams(now);
         if self.resigned {
             return;
         }
@@ -353,6 +369,19 @@
         }
     }
 
+    /// Notes which upstreams are listed, and in which generation of the store.
+    fn remember_upstreams(&mut self, now: Millis) {
+        let listed = self.node.shared_state.borrow().digest()[EntryKind::Upstream as usize];
+        let generation = revision::generation(listed);
+        if now >= self.remembered_at + REMEMBER_INTERVAL_MS
+            || generation > self.upstream_memory.generation()
+        {
+            self.remembered_at = now;
+            let upstreams = self.upstreams();
+            self.upstream_memory.on_listed(now, generation, &upstreams);
+        }
+    }
+
     fn add_report(&mut self, report: &TrafficReport) {
         self.traffic.add_report(report);
         self.overload.add_queues(&report.queues);
@@ -639,13 +668,29 @@
             if self.uncertain_commit.is_some() || self.are_owners_lost() {
                 self.read_row(now, self.owners_row_name());
             }
-        } else if let Some(revision) = takeover_revision {
+        } else if let Some(revision) = takeover_revision
+            && !self.must_leave_lease_to_others(sent, parsed.as_ref(), revision)
+        {
             self.write_lease_at(now, revision, None);
         } else {
             self.next_call_at = sent + self.lease.read_delay(sent);
         }
     }
 
+    /// Returns whether an instance that has run for longer should take a lease whose row comes from a
+    /// copy of the store: this one could not find out soon who holds keys.
+    fn must_leave_lease_to_others(
+        &self,
+        now: Millis,
+        row: Option<&LeaseRow>,
+        revision: u64,
+    ) -> bool {
+        let generation = revision::generation(revision);
+        generation != row.map_or(0, |r| r.generation)
+            && self.upstream_memory.is_too_short(now)
+            && now < self.upstream_memory.listed_since() + LEASE_PRECEDENCE_MS
+    }
+
     fn on_owners_read(&mut self, now: Millis, row: &Row) {
         self.call_sent_at = None;
         let are_lost = self.are_owners_lost();
@@ -723,6 +768,13 @@
         let Some(coordinator) = &mut self.coordinator else {
             return;
         };
+        if coordinator.is_uncertain(now) {
+            self.sweep(now);
+            return;
+        }
+        if self.sweep_pending.take().is_some() {
+            log::info!(service = &*self.service; "owners are certain again");
+        }
         // The first assignment waits until the number of upstreams is stable, so that those that
         // register a little later get a share too.
         let settling = coordinator.owners().spans.is_empty()
@@ -797,6 +849,40 @@
         }
     }
 
+    /// Asks all upstreams to release what the known owners do not give them, if all that may hold
+    /// keys are known.
+    fn sweep(&mut self, now: Millis) {
+        let generation = self.lease.held_revision().map_or(0, revision::generation);
+        if !self.node.shared_state.borrow().is_listing_settled(now) {
+            return;
+        }
+        let Some(holders) = self.upstream_memory.possible_holders(now, generation) else {
+            return;
+        };
+        let mut owners = Vec::new();
+        for (owner, address) in holders {
+            self.addresses.insert(owner.clone(), address);
+            owners.push(owner.clone());
+        }
+        let Some(coordinator) = &mut self.coordinator else {
+            return;
+        };
+        let orders = coordinator.due_sweep_releases(now, &owners);
+        let pending: Vec<&str> = coordinator.sweep_pending().map(|id| &**id).collect();
+        if self.sweep_pending != Some(pending.len()) && !pending.is_empty() {
+            let names =
+                if pending.len() < owners.len() { pending.join(",") } else { String::new() };
+            log::info!(
+                service = &*self.service, upstreams = owners.len(), pending = pending.len(), names;
+                "upstreams are asked to release other keys than the known ones"
+            );
+            self.sweep_pending = Some(pending.len());
+        }
+        for order in orders {
+            self.send_release(order);
+        }
+    }
+
     fn send_grant(&self, order: GrantOrder) {
         let id = order.id;
         let address = self.addresses.get(&order.owner).copied();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -143,6 +143,7 @@
 mod socket;
 pub mod standby;
 pub mod standin;
+mod sweep;
 mod tasks;
 pub mod traffic;
 mod transport;
--- a/src/node.rs
+++ b/src/node.rs
@@ -98,6 +98,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the metrics, if served.
     pub metrics_address: Option<SocketAddr>,
+    /// Whether the instance starts together with the whole system, which has never run before.
+    pub first_start: bool,
     /// Duration in milliseconds of the longest grant that upstreams accept; used while the store
     /// does not answer.
     pub max_hold_ms: Millis,
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -371,6 +371,13 @@
         with_entry.chain(lapsed)
     }
 
+    /// Returns whether the store has answered for so long that it lists all upstreams that live and
+    /// reach it.
+    #[must_use]
+    pub fn is_listing_settled(&self, now: Millis) -> bool {
+        self.store_away_at.is_none_or(|at| now >= at + LAPSE_GRACE_MS)
+    }
+
     /// Returns the committed owners of a service's keys and their revision.
     #[must_use]
     pub fn owners(&self, service: &str) -> Option<(&Arc<KeyMap>, u64)> {
--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -62,10 +62,13 @@
         true
     }
 
-    fn release(&mut self, order: &ReleaseOrder) {
+    /// Ends what it holds of the keys; `fences` tells whether it counts the fence as seen.
+    fn release(&mut self, order: &ReleaseOrder, fences: bool) {
         for key in KEYS.into_iter().filter(|k| order.range.contains(*k)) {
-            if let Some(key_state) = self.keys.get_mut(&key) {
-                key_state.until = 0;
+            let key_state = self.keys.entry(key).or_default();
+            key_state.until = 0;
+            if fences {
+                key_state.fence = order.fence.max(key_state.fence);
             }
         }
     }
@@ -90,6 +93,12 @@
     /// Once all earlier grants have expired, a new coordinator grants the keys of the copy's owners
     /// with the copy's fences.
     GrantsCopyFences,
+    /// A sweep counts upstreams that it did not reach.
+    SweepIgnoresSilence,
+    /// A sweep begins while grants of the predecessor are in transit.
+    SweepsAtOnce,
+    /// Upstreams do not count the fence of a release as seen.
+    ReleaseDoesNotFence,
 }
 
 struct Simulation {
@@ -115,6 +124,8 @@
     took_over_copy_at: Option<u64>,
     /// Grants that are in transit, and answered when they arrive.
     in_transit: Vec<GrantOrder>,
+    /// Grants of the predecessor that are in transit.
+    predecessor_in_transit: Vec<GrantOrder>,
     bug: InjectedBug,
 }
 
@@ -191,6 +202,7 @@
             carry_out_lost: false,
             took_over_copy_at: None,
             in_transit: Vec::new(),
+            predecessor_in_transit: Vec::new(),
             bug,
         };
         let to = sim.upstreams[0].owner.clone();
@@ -214,6 +226,9 @@
         for order in self.coordinator.due_releases(self.now) {
             self.send_release(&order);
         }
+        for order in self.coordinator.due_sweep_releases(self.now, &current) {
+            self.send_release(&order);
+        }
         self.commit_if_due();
         for order in self.coordinator.due_grants(self.now, false) {
             self.send_grant(order, delivery);
@@ -294,12 +309,15 @@
 
     fn send_release(&mut self, order: &ReleaseOrder) {
         let now = self.now;
+        let fences = self.bug != InjectedBug::ReleaseDoesNotFence;
+        let ignores_silence = self.bug == InjectedBug::SweepIgnoresSilence;
         let ignores_unanswered = self.bug == InjectedBug::IgnoresUnansweredGrants;
         let outcome = match self.upstream(&order.owner).filter(|u| u.reachable) {
             Some(u) => {
-                u.release(order);
+                u.release(order, fences);
                 OrderOutcome::Done(None)
             }
+            None if ignores_silence => OrderOutcome::Done(None),
             None => OrderOutcome::NotSent,
         };
         if ignores_unanswered && outcome != OrderOutcome::NotSent {
@@ -315,9 +333,20 @@
         }
     }
 
+    /// Delivers the grants of the predecessor that are in transit.
+    fn deliver_predecessors_grants(&mut self) {
+        let now = self.now;
+        for order in std::mem::take(&mut self.predecessor_in_transit) {
+            if let Some(u) = self.upstream(&order.owner).filter(|u| u.reachable) {
+                u.grant(now, &order);
+            }
+        }
+    }
+
     /// Delivers the grants in transit.
     fn deliver_in_transit(&mut self) {
         let now = self.now;
+        self.deliver_predecessors_grants();
         for order in std::mem::take(&mut self.in_transit) {
             let id = order.id;
             let reached = self.upstream(&order.owner).filter(|u| u.reachable);
@@ -442,18 +471,23 @@
             }
             Step::RestoreAndTakeover(commits) => {
                 self.restore(*commits);
-                self.deliver_in_transit();
+                self.predecessor_in_transit.append(&mut self.in_transit);
                 self.took_over_copy_at = Some(self.now);
                 let (map, revision) = self.store.clone();
                 self.coordinator = if self.bug == InjectedBug::TrustsCopy {
                     Coordinator::new(self.now, TIMES, map, revision)
                 } else {
-                    Coordinator::with_uncertain_owners(self.now, TIMES, map, revision)
+                    let early = if self.bug == InjectedBug::SweepsAtOnce { 500 } else { 0 };
+                    Coordinator::with_uncertain_owners(self.now - early, TIMES, map, revision)
                 };
                 self.send_due_orders(Delivery::Answered);
             }
             Step::Stall(ms) => {
-                self.now += ms;
+                self.now += (*ms).min(TRANSIT_MS);
+                if *ms >= TRANSIT_MS {
+                    self.deliver_predecessors_grants();
+                }
+                self.now += ms.saturating_sub(TRANSIT_MS);
                 self.commit_if_due();
                 self.send_due_orders(Delivery::Answered);
             }
@@ -566,11 +600,17 @@
     let total = steps.len().pow(u32::try_from(depth).unwrap());
     for n in 0..total {
         let mut rest = n;
-        let mut sim = Simulation::new(bug);
+        let mut sequence = Vec::new();
         for _ in 0..depth {
-            sim.apply(&steps[rest % steps.len()]);
+            sequence.push(steps[rest % steps.len()].clone());
             rest /= steps.len();
         }
+        // A panic message does not tell the sequence; the output of a failed test does.
+        let result = std::panic::catch_unwind(|| run_steps(bug, &sequence));
+        if let Err(cause) = result {
+            println!("{sequence:?}");
+            std::panic::resume_unwind(cause);
+        }
     }
 }
 
@@ -594,6 +634,9 @@
     search_finds_takeover_ignoring_its_predecessor: InjectedBug::IgnoresPredecessor, 4, "has owners";
     search_finds_clock_slower_than_assumed: InjectedBug::ExcessiveDrift, 4, "has owners";
     search_finds_takeover_that_trusts_a_copy: InjectedBug::TrustsCopy, 4, "has owners";
+    search_finds_sweep_ignoring_silence: InjectedBug::SweepIgnoresSilence, 5, "has owners";
+    search_finds_sweep_beside_grants_in_transit: InjectedBug::SweepsAtOnce, 5, "has owners";
+    search_finds_release_that_does_not_fence: InjectedBug::ReleaseDoesNotFence, 5, "has owners";
     search_finds_grants_with_the_fences_of_a_copy: InjectedBug::GrantsCopyFences, 4, "moved with fence";
 }
 
