Count the wait for a restored lease from the restore

Cause: an instance counted the 2.1 s for which a lease's row must be unchanged from its own first read of the row, which comes only once the coordinator has gone silent. The revision up to which it has the shared state is evidence from before: a row that is not newer has not been written since, so no lease that was renewed later can exist. Now the wait counts from the first known revision of the store's present generation.

--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -373,6 +373,7 @@
     fn remember_upstreams(&mut self, now: Millis) {
         let listed = self.node.shared_state.borrow().digest()[EntryKind::Upstream as usize];
         let generation = revision::generation(listed);
+        self.lease.on_store_revision(now, listed);
         if now >= self.remembered_at + REMEMBER_INTERVAL_MS
             || generation > self.upstream_memory.generation()
         {
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -7,7 +7,8 @@
 //!
 //! The store may be restored from a copy, in which the row names an earlier holder. A row that was
 //! not written since then says nothing about who holds the lease: its holder goes on if the lease is
-//! valid by its own clock, and all others wait for the whole time.
+//! valid by its own clock, and all others wait for the whole time. It counts from when they learned
+//! of the restore if the row has not been written since.
 
 use crate::{clock::Millis, revision};
 use serde::{Deserialize, Serialize};
@@ -71,6 +72,8 @@
     write_number: u64,
     /// Generation of the store at the first read.
     first_generation: Option<u64>,
+    /// The first known revision of the store in its latest generation, and when it was known.
+    first_seen: (u64, Millis),
     state: State,
 }
 
@@ -90,7 +93,15 @@
     #[must_use]
     pub fn new(name: impl Into<Arc<str>>, process: u64) -> Self {
         let (state, first_generation) = (State::Watching(None), None);
-        Self { name: name.into(), process, write_number: 0, first_generation, state }
+        let (name, first_seen) = (name.into(), (0, Millis::MAX));
+        Self { name, process, write_number: 0, first_generation, first_seen, state }
+    }
+
+    /// Records that the store had reached `revision` at `now`.
+    pub fn on_store_revision(&mut self, now: Millis, revision: u64) {
+        if revision::generation(revision) > revision::generation(self.first_seen.0) {
+            self.first_seen = (revision, now);
+        }
     }
 
     /// Returns the row to write for taking or renewing the lease, if its row has the revision
@@ -141,6 +152,10 @@
         let State::Watching(Some((_, since))) = &self.state else {
             return None;
         };
+        // A row that has not been written since an earlier moment has been unchanged since then.
+        let (seen, seen_at) = self.first_seen;
+        let is_older = revision <= seen && generation == revision::generation(seen);
+        let since = if is_older { seen_at.min(*since) } else { *since };
         // An earlier process of this instance ended before this one started.
         let own_name = row.is_some_and(|r| r.holder.as_deref() == Some(&*self.name));
         let is_free = row.is_none_or(|r| r.holder.is_none()) || own_process || own_name;
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -85,6 +85,8 @@
     Renew(usize),
     ExecuteWrite(bool),
     Restore(usize),
+    /// An instance learns of the store's revision.
+    Notice(usize),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -97,7 +99,11 @@
 }
 
 fn step_with_restores() -> impl Strategy<Value = Step> {
-    prop_oneof![9 => step(), 1 => (1usize..4).prop_map(Step::Restore)]
+    prop_oneof![
+        9 => step(),
+        1 => (1usize..4).prop_map(Step::Restore),
+        2 => (0usize..3).prop_map(Step::Notice),
+    ]
 }
 
 proptest! {
@@ -130,6 +136,10 @@
             }
             Step::ExecuteWrite(answered) => sim.execute_oldest_write(answered),
             Step::Restore(writes) => sim.restore(writes),
+            Step::Notice(n) => {
+                let (now, revision) = (sim.now, sim.revision);
+                sim.leases[n].on_store_revision(now, revision);
+            }
         }
         sim.assert_valid_for_at_most_one();
     }
@@ -178,6 +188,22 @@
     }
 }
 
+/// The wait counts from when an instance learned of the restore, not from its first read of the row,
+/// unless the row was written in between, as by a renewal that was sent before the restore.
+#[test]
+fn wait_for_a_restored_lease_begins_with_the_restore() {
+    let mut lease = Lease::new("e0", 2);
+    let row = first_row(&mut Lease::new("e1", 1));
+    lease.on_store_revision(100, revision::new(1, 9));
+    let restored = revision::new(1, 4);
+    let mut other = lease.clone();
+    assert_eq!(lease.on_read(1_000, Some(&row), restored), None);
+    assert_eq!(lease.on_read(100 + TAKEOVER_WAIT_MS, Some(&row), restored), Some(restored));
+    let written_later = revision::new(1, 10);
+    assert_eq!(other.on_read(1_000, Some(&row), written_later), None);
+    assert_eq!(other.on_read(100 + TAKEOVER_WAIT_MS, Some(&row), written_later), None);
+}
+
 /// A holder whose lease is valid goes on in a restored store, and one whose lease has ended waits.
 #[test]
 fn holder_goes_on_in_a_restored_store_while_its_lease_is_valid() {
