Take a missing row of owners for a new service on a new store only

Two upstreams held the same keys where all instances started on a store that had come back from a copy from before the first owners were committed.

Cause: an instance asked whether it had itself seen a restore. One that starts afterwards has not, and took the missing row for that of a service that nobody has served. The class of fault: no memory of an event taken for its absence. The store tells how often it was restored, so now the row's generation decides: only on a store that was never restored does a missing row show that there are no owners.

--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -733,13 +733,13 @@
     ///
     /// Owners that were committed before the store was restored from a copy may not be the last
     /// ones that were: their fences are of an earlier generation than the row. Of these and the last
-    /// ones that this instance knows, the later ones are taken.
+    /// ones that this instance knows, the later ones are taken. A missing row is that of a new service
+    /// only if the store was never restored.
     fn new_coordinator(&self, now: Millis, row: &Row, map: Option<KeyMap>) -> Coordinator {
         let (times, revision) = (grant_times(&self.node), row.revision);
         let is_certain = match &map {
-            Some(map) if !map.spans.is_empty() => map.is_certain_at(revision),
-            Some(_) => !self.lease.has_seen_restore(revision),
-            None => row.value.is_none() && !self.lease.has_seen_restore(revision),
+            Some(map) => map.is_certain_at(revision),
+            None => row.value.is_none() && revision::generation(revision) == 0,
         };
         let map = map.unwrap_or_default();
         if is_certain {
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -70,8 +70,6 @@
     name: Arc<str>,
     process: u64,
     write_number: u64,
-    /// Generation of the store at the first read.
-    first_generation: Option<u64>,
     /// The first known revision of the store in its latest generation, and when it was known.
     first_seen: (u64, Millis),
     state: State,
@@ -92,9 +90,8 @@
     /// Creates the state of an instance that does not hold the lease.
     #[must_use]
     pub fn new(name: impl Into<Arc<str>>, process: u64) -> Self {
-        let (state, first_generation) = (State::Watching(None), None);
         let (name, first_seen) = (name.into(), (0, Millis::MAX));
-        Self { name, process, write_number: 0, first_generation, first_seen, state }
+        Self { name, process, write_number: 0, first_seen, state: State::Watching(None) }
     }
 
     /// Records that the store had reached `revision` at `now`.
@@ -121,17 +118,10 @@
         LeaseRow { holder: None, ..self.next_row(expected) }
     }
 
-    /// Returns whether the store was restored between the first read and `revision`.
-    #[must_use]
-    pub fn has_seen_restore(&self, revision: u64) -> bool {
-        self.first_generation.is_some_and(|first| first < revision::generation(revision))
-    }
-
     /// Handles the row and its revision as read by a call sent at `sent`; returns the revision that
     /// a write must expect if this instance should try to take the lease.
     pub fn on_read(&mut self, sent: Millis, row: Option<&LeaseRow>, revision: u64) -> Option<u64> {
         let generation = revision::generation(revision);
-        self.first_generation.get_or_insert(generation);
         // Without a row, the store may have been restored from a copy that lacks it.
         let restored = generation != row.map_or(0, |r| r.generation);
         let own_process = row.is_some_and(|r| r.process == self.process && r.holder.is_some());
