Log under which request an upstream has ended

On call, nothing showed that fifteen upstreams of one service that ended one after the other did so under the same request: its caller sends it under a new identity each time, and a connection that breaks off is logged alike whether it was reset or the process is gone.

A connection that breaks off under a request is followed by one connection attempt now. If the upstream does not accept it, and was not about to stop, that is logged with the request's fingerprint (caller, method, host, path, body), which is the same each time, and counted in mulberryspur_upstream_ends_total. Only requests whose connection broke off pay for it. No decision depends on it yet.

--- a/src/caller_connection.rs
+++ b/src/caller_connection.rs
@@ -25,6 +25,7 @@
     collections::VecDeque,
     convert::Infallible,
     future::poll_fn,
+    net::IpAddr,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
@@ -74,6 +75,7 @@
 /// Serves the requests of one connection.
 struct ConnectionRequests {
     node: Rc<Node>,
+    caller: IpAddr,
     pipeline_handle: PipelineHandle,
     /// Early requests whose turn has not come, in order.
     early: RefCell<VecDeque<EarlyRequest>>,
@@ -89,7 +91,7 @@
             })
         } else {
             let (head, body) = req.into_parts();
-            request_handler::handle(self.node.clone(), head, Some(body)).await
+            request_handler::handle(self.node.clone(), self.caller, head, Some(body)).await
         };
         self.pipeline_handle.pipeline().on_response();
         res
@@ -120,7 +122,8 @@
                 return;
             };
             let (head, ()) = req.into_parts();
-            let response = request_handler::handle(self.node.clone(), head.clone(), None);
+            let node = self.node.clone();
+            let response = request_handler::handle(node, self.caller, head.clone(), None);
             let response = AbortOnDropHandle::new(tokio::task::spawn_local(response));
             self.early.borrow_mut().push_back(EarlyRequest { number, head, response });
         }
@@ -160,14 +163,18 @@
 }
 
 /// Serves a caller's connection until it ends or the instance stops.
-pub(crate) async fn serve(node: Rc<Node>, stream: TcpStream) {
+pub(crate) async fn serve(node: Rc<Node>, caller: IpAddr, stream: TcpStream) {
     OPEN_CONNECTIONS.set(OPEN_CONNECTIONS.get() + 1);
     let idle_timeout = node
         .routing_config()
         .map_or(DEFAULT_IDLE_TIMEOUT, |c| Duration::from_millis(c.limits.idle_ms));
     let (stream, pipeline_handle) = split(stream);
-    let requests =
-        ConnectionRequests { node: node.clone(), pipeline_handle, early: RefCell::default() };
+    let requests = ConnectionRequests {
+        node: node.clone(),
+        caller,
+        pipeline_handle,
+        early: RefCell::default(),
+    };
     let requests = Rc::new(requests);
     let handler = requests.clone();
     let service = service_fn(move |req: Request<Incoming>| {
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -53,11 +53,23 @@
     pub result: AttemptResult,
     pub completion: Completion,
     pub feedback: Feedback,
+    /// Whether the connection ended while the upstream may have been running the request.
+    pub broke_off: bool,
 }
 
 impl AttemptReport {
     fn new(result: AttemptResult, completion: Completion) -> Self {
-        Self { result, completion, feedback: Feedback::default() }
+        Self { result, completion, feedback: Feedback::default(), broke_off: false }
+    }
+
+    fn with_feedback(mut self, feedback: Feedback) -> Self {
+        self.feedback = feedback;
+        self
+    }
+
+    fn with_broken_connection(mut self) -> Self {
+        self.broke_off = true;
+        self
     }
 }
 
@@ -183,7 +195,8 @@
             return AttemptReport::new(
                 AttemptResult::Unknown(f.error.to_string()),
                 Completion::Failed,
-            );
+            )
+            .with_broken_connection();
         }
     };
     let (mut parts, incoming) = res.into_parts();
@@ -209,22 +222,20 @@
         let body = TrackedBody::new(incoming, conn, |_, _| {});
         let body = http_body_util::BodyExt::boxed_unsync(body);
         let result = AttemptResult::Response(Response::from_parts(parts, body));
-        return AttemptReport { result, completion: Completion::Responded(took_ms), feedback };
+        return AttemptReport::new(result, Completion::Responded(took_ms)).with_feedback(feedback);
     }
     let max = usize::try_from(MAX_BUFFERED_RESPONSE_BYTES).unwrap_or(usize::MAX);
     let bytes = match http::read_body("read response", &upstream.id, incoming, max).await {
         Ok(bytes) => bytes,
         Err(e) if not_run => {
             log::debug!(upstream = &*upstream.id; "{e}");
-            return AttemptReport {
-                result: AttemptResult::NotRun("rejected"),
-                completion: Completion::Refused,
-                feedback,
-            };
+            return AttemptReport::new(AttemptResult::NotRun("rejected"), Completion::Refused)
+                .with_feedback(feedback);
         }
         Err(e) => {
-            let result = AttemptResult::Unknown(e.to_string());
-            return AttemptReport { result, completion: Completion::Failed, feedback };
+            return AttemptReport::new(AttemptResult::Unknown(e.to_string()), Completion::Failed)
+                .with_feedback(feedback)
+                .with_broken_connection();
         }
     };
     if !will_close {
@@ -236,25 +247,20 @@
         let completion = if misdirected { Completion::NotOwner } else { Completion::Refused };
         // The texts stay as operators search for them; `rejected` is the upstream's refusal.
         let reason = if misdirected { "not the owner" } else { "rejected" };
-        return AttemptReport { result: AttemptResult::NotRun(reason), completion, feedback };
+        return AttemptReport::new(AttemptResult::NotRun(reason), completion)
+            .with_feedback(feedback);
     }
     if status.is_success() && (!signed || parts.headers.contains_key(header::CONTENT_ENCODING)) {
         let result = AttemptResult::Unknown("response without the upstream's signature".into());
-        return AttemptReport { result, completion: Completion::Failed, feedback };
+        return AttemptReport::new(result, Completion::Failed).with_feedback(feedback);
     }
     let res = Response::from_parts(parts, http::full_body(bytes));
     if status.is_server_error() {
-        return AttemptReport {
-            result: AttemptResult::ErrorResponse(res),
-            completion: Completion::Failed,
-            feedback,
-        };
-    }
-    AttemptReport {
-        result: AttemptResult::Response(res),
-        completion: Completion::Responded(took_ms),
-        feedback,
+        return AttemptReport::new(AttemptResult::ErrorResponse(res), Completion::Failed)
+            .with_feedback(feedback);
     }
+    AttemptReport::new(AttemptResult::Response(res), Completion::Responded(took_ms))
+        .with_feedback(feedback)
 }
 
 fn elapsed_ms(since: Instant) -> f64 {
--- a/src/listeners.rs
+++ b/src/listeners.rs
@@ -26,8 +26,9 @@
     let callers = http::bind("listen for callers", node.cfg.caller_address).await?;
     let readiness = http::bind("listen for the balancer", node.cfg.ready_address).await?;
     let caller_node = node.clone();
-    tokio::task::spawn_local(accept(callers, move |stream, _| {
-        tokio::task::spawn_local(caller_connection::serve(caller_node.clone(), stream));
+    tokio::task::spawn_local(accept(callers, move |stream, addr| {
+        let serving = caller_connection::serve(caller_node.clone(), addr.ip(), stream);
+        tokio::task::spawn_local(serving);
     }));
     let balancer_node = node.clone();
     tokio::task::spawn_local(accept(readiness, move |stream, _| {
--- a/src/request_handler.rs
+++ b/src/request_handler.rs
@@ -5,6 +5,8 @@
     body::RequestBody,
     clock::{Millis, boot_millis},
     dispatch::{Completion, Decision, Destination, LoadReport, Rejection, RequestSpec, Ticket},
+    ended_upstreams,
+    fingerprint::{Fingerprint, KnownBody},
     forward::{self, AttemptResult},
     http::{self, Body},
     keymap::Key,
@@ -13,11 +15,11 @@
 };
 use hyper::{
     Response, StatusCode,
-    body::Incoming,
+    body::{Body as _, Incoming},
     header::{HOST, HeaderValue, RETRY_AFTER},
     http::request::Parts,
 };
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{net::IpAddr, rc::Rc, sync::Arc, time::Duration};
 use tokio::sync::oneshot;
 
 /// Request bodies whose declared length is at most this are buffered, so that they can be sent
@@ -79,14 +81,19 @@
 }
 
 /// Serves one request; without `body`, the request has none.
-pub(crate) async fn handle(node: Rc<Node>, head: Parts, body: Option<Incoming>) -> Response<Body> {
+pub(crate) async fn handle(
+    node: Rc<Node>,
+    caller: IpAddr,
+    head: Parts,
+    body: Option<Incoming>,
+) -> Response<Body> {
     let arrived_at = boot_millis();
     let id = request_id(&node, &head);
     let result = match prepare(&node, &head, id.clone(), arrived_at) {
         Ok(mut cx) => {
             let last_responses = node.last_responses.clone();
             let result = tokio::select! {
-                result = serve(&node, &mut cx, &head, body) => result,
+                result = serve(&node, &mut cx, caller, &head, body) => result,
                 () = last_responses.cancelled() => Err(last_response(&cx)),
             };
             record_result(&cx, &result);
@@ -167,9 +174,11 @@
 async fn serve(
     node: &Rc<Node>,
     cx: &mut RequestContext,
+    caller: IpAddr,
     head: &Parts,
     body: Option<Incoming>,
 ) -> Result<Response<Body>, LocalResponse> {
+    let declared_length = body.as_ref().and_then(|b| b.size_hint().exact());
     let buffered = match body {
         Some(body) => RequestBody::read(body, MAX_BUFFERED_BODY_BYTES).await,
         None => Ok(RequestBody::empty()),
@@ -215,6 +224,10 @@
             record_leaving(node, cx, &upstream);
         }
         in_flight.end(report.completion, report.feedback.load);
+        if report.broke_off {
+            let fingerprint = fingerprint(caller, head, &body, declared_length);
+            ended_upstreams::check(&upstream, &cx.id, fingerprint);
+        }
         if report.completion != Completion::Unreachable {
             cx.attempts += 1;
         }
@@ -255,6 +268,18 @@
     }
 }
 
+fn fingerprint(
+    caller: IpAddr,
+    head: &Parts,
+    body: &RequestBody,
+    declared_length: Option<u64>,
+) -> Fingerprint {
+    let bytes = body.bytes();
+    let known_body =
+        bytes.as_ref().map_or(KnownBody::Streamed(declared_length), |b| KnownBody::Whole(b));
+    Fingerprint::new(caller, head, known_body)
+}
+
 /// Returns the response to a request that is open when the process is about to end.
 fn last_response(cx: &RequestContext) -> LocalResponse {
     let reason = "instance ends";
