Reject requests that have ended three upstreams

Cause: each attempt was judged by itself. What an attempt shows about the upstream is remembered (health, limits, rests, leaving), what it shows about the request is not, neither within an instance nor among them. The class of fault: evidence booked to one of the two parties only.

Now a request is recognised by a cryptographic digest of its caller, method, host, path, query and body. It is computed only where a connection broke off, or where the cheap hash of the path is that of a suspect. After a break, one connection attempt tells an upstream that has ended from a connection that was reset. Ends count once for each incarnation, and once for all upstreams that end while copies of the request run at them; an answer clears the request. From the first end on, the router does not repeat the request itself after another break. After three, it is rejected at once for two minutes from the last end, then tried again; each further end doubles that, up to half an hour. 1,024 requests are remembered; those that matter least are dropped first.

Instances send each other what changes, through the first one of each data centre, and those with a relay or a partner get all that is rejected with the reply to their digests, so that one that starts or was cut off learns it within a second or so. A message has 32 requests at most.

--- a/src/ended_upstreams.rs
+++ b/src/ended_upstreams.rs
@@ -1,9 +1,17 @@
-//! Finds out whether an upstream has ended where a connection to it broke off under a request, in
-//! `mulberryspur-platform`.
+//! Finds out whether an upstream has ended where a connection to it broke off under a request, and
+//! shares that with the other instances of `mulberryspur-platform`.
 
-use crate::{fingerprint::Fingerprint, routing_config::UpstreamInfo};
-use std::{sync::Arc, time::Duration};
+use crate::{
+    clock::{Millis, boot_millis},
+    fingerprint::Fingerprint,
+    gossip::{self, Message},
+    node::Node,
+    routing_config::UpstreamInfo,
+    suspects::End,
+};
+use std::{rc::Rc, sync::Arc, time::Duration};
 use tokio::net::TcpStream;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Time for which the upstream is left before it is asked, so that a process that ends has closed
 /// its listener too.
@@ -11,12 +19,21 @@
 /// Time within which an upstream that lives accepts a connection.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// A request whose connection broke off.
+#[derive(Debug)]
+pub(crate) struct BrokenRequest {
+    pub id: Arc<str>,
+    pub fingerprint: Fingerprint,
+    pub sent_at: Millis,
+}
+
 /// Checks whether an upstream has ended under a request, unless it was about to stop anyway.
-pub(crate) fn check(upstream: &Arc<UpstreamInfo>, request: &Arc<str>, fingerprint: Fingerprint) {
+pub(crate) fn check(node: &Rc<Node>, upstream: &Arc<UpstreamInfo>, request: BrokenRequest) {
     if upstream.leaving {
         return;
     }
-    let (upstream, request) = (upstream.clone(), request.clone());
+    let ended_at = boot_millis();
+    let (node, upstream) = (node.clone(), upstream.clone());
     tokio::task::spawn_local(async move {
         tokio::time::sleep(CHECK_DELAY).await;
         let connecting = TcpStream::connect(upstream.address);
@@ -24,12 +41,25 @@
             // Only the connection was lost.
             return;
         }
+        let BrokenRequest { id, fingerprint, sent_at } = request;
+        let incarnation = xxh3_64(format!("{}/{}", upstream.id, upstream.started).as_bytes());
+        let end = End { incarnation, sent_at, ended_at };
+        let ends = node.suspects.borrow_mut().on_end(boot_millis(), fingerprint, end);
         let service = upstream.service.to_string();
         metrics::counter!("mulberryspur_upstream_ends_total", "service" => service).increment(1);
         log::warn!(
-            request = &*request, upstream = &*upstream.id, service = &*upstream.service,
-            fingerprint = fingerprint.to_string();
+            request = &*id, upstream = &*upstream.id, service = &*upstream.service,
+            fingerprint = fingerprint.to_string(), ends;
             "upstream ended under a request"
         );
     });
 }
+
+/// Tells the other instances what has changed since the last call.
+pub(crate) fn publish(node: &Rc<Node>) {
+    let now = boot_millis();
+    let notices = node.suspects.borrow_mut().take_unpublished(now);
+    if !notices.is_empty() {
+        gossip::broadcast(node, &Message::Suspects { notices, relayed: false });
+    }
+}
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -23,6 +23,7 @@
     node::Node,
     overload::OwnerShare,
     shared_state::{Digest, EntryKind, PeerInfo, StateEntry},
+    suspects::Notice,
     traffic::TrafficReport,
 };
 use ciborium::Value;
@@ -88,6 +89,9 @@
     /// Shares of the requests that a service's overloaded owners can serve; `relayed` tells that
     /// the receiver does not pass them on.
     Shares { service: Arc<str>, shares: Vec<OwnerShare>, relayed: bool },
+    /// Requests under which upstreams have ended; `relayed` tells that the receiver does not pass them
+    /// on.
+    Suspects { notices: Vec<Notice>, relayed: bool },
     /// Traffic of a keyed service, for its coordinator; `None` only asks for the reply.
     #[serde(rename = "Heat")]
     Traffic { service: Arc<str>, report: Option<TrafficReport> },
@@ -426,7 +430,10 @@
             let (name, healthy) = (node.cfg.name.clone(), node.follows_store());
             let relay = relay(node);
             let status = Message::StoreStatus { name, healthy, relay };
-            delta.into_iter().chain(request).chain([status]).collect()
+            let notices = node.suspects.borrow().notices(boot_millis());
+            let suspects =
+                (!notices.is_empty()).then_some(Message::Suspects { notices, relayed: true });
+            delta.into_iter().chain(request).chain([status]).chain(suspects).collect()
         }
         Message::StoreStatus { name, healthy, relay } => {
             let same_data_center = |p: &PeerInfo| p.data_center == node.cfg.data_center;
@@ -466,6 +473,13 @@
             }
             Vec::new()
         }
+        Message::Suspects { notices, relayed } => {
+            let changed = node.suspects.borrow_mut().merge(boot_millis(), &notices);
+            if changed && !relayed {
+                send_to_dependents(node, &Message::Suspects { notices, relayed: true });
+            }
+            Vec::new()
+        }
         Message::Traffic { service, report } => {
             let acting = coordinator_task::on_traffic_report(node, &service, report);
             vec![Message::CoordinatorStatus { service, acting }]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -145,6 +145,7 @@
 mod socket;
 pub mod standby;
 pub mod standin;
+pub mod suspects;
 mod sweep;
 mod tasks;
 pub mod traffic;
--- a/src/node.rs
+++ b/src/node.rs
@@ -7,6 +7,7 @@
     collections::HashMap,
     coordinator_task,
     dispatch::{Decision, Destination, Dispatcher, Ticket, UpstreamSpec},
+    ended_upstreams,
     error::Result,
     exporter,
     gossip::{self, MovingKeys},
@@ -19,6 +20,7 @@
     revision,
     routing_config::{RoutingConfig, Rule, UpstreamInfo},
     shared_state::{EntryKind, PeerInfo, SharedState},
+    suspects::Suspects,
     traffic::{TrafficCounter, TrafficReport},
 };
 use std::{
@@ -273,6 +275,8 @@
     /// Credits of the weighted round robin between the targets of a rule, by rule.
     pub(crate) target_credits: RefCell<HashMap<Arc<str>, Vec<f64>>>,
     pub(crate) pool: Pool,
+    /// Requests under which upstreams have ended.
+    pub(crate) suspects: RefCell<Suspects>,
     pub(crate) gossip_links: gossip::GossipLinks,
     pub(crate) coordinators: RefCell<HashMap<Arc<str>, coordinator_task::CoordinatorHandle>>,
     /// When the store last answered a call for the changes of each table; 0 while this instance
@@ -310,6 +314,7 @@
             retry_limits: Cell::new((cfg.retry_ratio, cfg.retry_reserve)),
             target_credits: RefCell::default(),
             pool: Pool::with_options(CONNECTIONS_PER_UPSTREAM, options),
+            suspects: RefCell::default(),
             gossip_links: gossip::GossipLinks::default(),
             coordinators: RefCell::default(),
             followed_tables: RefCell::default(),
@@ -382,6 +387,7 @@
 
     fn poll(self: &Rc<Self>) {
         let now = boot_millis();
+        ended_upstreams::publish(self);
         // Upstreams whose entries were deleted during an outage and were not restored in time.
         if self.shared_state.borrow_mut().expire_lapsed(now) {
             self.refresh_services();
--- a/src/request_handler.rs
+++ b/src/request_handler.rs
@@ -5,8 +5,8 @@
     body::RequestBody,
     clock::{Millis, boot_millis},
     dispatch::{Completion, Decision, Destination, LoadReport, Rejection, RequestSpec, Ticket},
-    ended_upstreams,
-    fingerprint::{Fingerprint, KnownBody},
+    ended_upstreams::{self, BrokenRequest},
+    fingerprint::{Fingerprint, KnownBody, path_hash},
     forward::{self, AttemptResult},
     http::{self, Body},
     keymap::Key,
@@ -179,6 +179,7 @@
     body: Option<Incoming>,
 ) -> Result<Response<Body>, LocalResponse> {
     let declared_length = body.as_ref().and_then(|b| b.size_hint().exact());
+    let identity = RequestIdentity { caller, head, declared_length };
     let buffered = match body {
         Some(body) => RequestBody::read(body, MAX_BUFFERED_BODY_BYTES).await,
         None => Ok(RequestBody::empty()),
@@ -192,6 +193,7 @@
         }
     }
     loop {
+        reject_if_it_ends_upstreams(node, cx, &identity, &body)?;
         let upstream_id = match admit(node, cx).await {
             Decision::Send(id) => id,
             Decision::Reject { reason, retry_after } => {
@@ -209,11 +211,14 @@
             in_flight.end(Completion::Inconclusive, None);
             continue;
         };
+        // More upstreams may have ended under it while it waited.
+        reject_if_it_ends_upstreams(node, cx, &identity, &body)?;
         let now = boot_millis();
         let time_left = cx.upstream_deadline.saturating_sub(now).max(1);
         let timeout = Duration::from_millis(cx.response_deadline.saturating_sub(now).max(1));
         let attempt = forward::send(node, head, &mut body, &upstream, time_left);
         cx.is_sent = true;
+        let sent_at = now;
         let Ok(report) = tokio::time::timeout(timeout, attempt).await else {
             in_flight.end(Completion::Inconclusive, None);
             return Err(LocalResponse::new(StatusCode::GATEWAY_TIMEOUT, "timeout at the upstream"));
@@ -225,15 +230,19 @@
         }
         in_flight.end(report.completion, report.feedback.load);
         if report.broke_off {
-            let fingerprint = fingerprint(caller, head, &body, declared_length);
-            ended_upstreams::check(&upstream, &cx.id, fingerprint);
+            let (id, fingerprint) = (cx.id.clone(), identity.fingerprint(&body));
+            ended_upstreams::check(node, &upstream, BrokenRequest { id, fingerprint, sent_at });
         }
         if report.completion != Completion::Unreachable {
             cx.attempts += 1;
         }
         let (error_response, reason) = match report.result {
-            AttemptResult::Response(res) => return Ok(res),
+            AttemptResult::Response(res) => {
+                clear_suspicion(node, &identity, &body);
+                return Ok(res);
+            }
             AttemptResult::ErrorResponse(res) => {
+                clear_suspicion(node, &identity, &body);
                 cx.may_have_run = true;
                 (Some(res), "upstream failed".to_owned())
             }
@@ -247,6 +256,8 @@
         let retry = owner_rest_ms.is_none()
             && (cx.rule.idempotent || !cx.may_have_run)
             && body.can_resend()
+            // If an upstream has ended under it before, another one is not put at risk.
+            && !(report.broke_off && identity.end_count(node, &body) > 0)
             && may_retry(node, cx, report.completion);
         // The key `repeat` stays, as operators search for it.
         log::info!(request = &*cx.id, upstream = &*upstream_id, why = &*reason, repeat = retry; "attempt failed");
@@ -268,16 +279,58 @@
     }
 }
 
-fn fingerprint(
+/// What tells a request from others, besides its body.
+struct RequestIdentity<'a> {
     caller: IpAddr,
-    head: &Parts,
-    body: &RequestBody,
+    head: &'a Parts,
     declared_length: Option<u64>,
-) -> Fingerprint {
-    let bytes = body.bytes();
-    let known_body =
-        bytes.as_ref().map_or(KnownBody::Streamed(declared_length), |b| KnownBody::Whole(b));
-    Fingerprint::new(caller, head, known_body)
+}
+
+impl RequestIdentity<'_> {
+    fn fingerprint(&self, body: &RequestBody) -> Fingerprint {
+        let bytes = body.bytes();
+        let streamed = KnownBody::Streamed(self.declared_length);
+        let known_body = bytes.as_ref().map_or(streamed, |b| KnownBody::Whole(b));
+        Fingerprint::new(self.caller, self.head, known_body)
+    }
+
+    /// Returns the fingerprint if an upstream may have ended under the request; that of others is not
+    /// computed.
+    fn suspected_fingerprint(&self, node: &Node, body: &RequestBody) -> Option<Fingerprint> {
+        let is_possible = node.suspects.borrow().has_path(path_hash(&self.head.uri));
+        is_possible.then(|| self.fingerprint(body))
+    }
+
+    /// Returns how often upstreams have ended under the request.
+    fn end_count(&self, node: &Node, body: &RequestBody) -> usize {
+        let fingerprint = self.suspected_fingerprint(node, body);
+        fingerprint.map_or(0, |f| node.suspects.borrow().end_count(&f))
+    }
+}
+
+/// Rejects a request that has ended too many upstreams.
+fn reject_if_it_ends_upstreams(
+    node: &Node,
+    cx: &RequestContext,
+    identity: &RequestIdentity,
+    body: &RequestBody,
+) -> Result<(), LocalResponse> {
+    let Some(fingerprint) = identity.suspected_fingerprint(node, body) else {
+        return Ok(());
+    };
+    match node.suspects.borrow().rejected_for(boot_millis(), &fingerprint) {
+        Some(retry_after) => Err(unserved_response(cx, "ends upstreams", retry_after)),
+        None => Ok(()),
+    }
+}
+
+/// Records that an upstream has answered the request, which therefore does not end upstreams.
+fn clear_suspicion(node: &Node, identity: &RequestIdentity, body: &RequestBody) {
+    if let Some(fingerprint) = identity.suspected_fingerprint(node, body)
+        && node.suspects.borrow_mut().clear(boot_millis(), fingerprint)
+    {
+        log::info!(fingerprint = fingerprint.to_string(); "request is no longer suspected");
+    }
 }
 
 /// Returns the response to a request that is open when the process is about to end.
