Let operators pardon a request that was rejected for ending upstreams

A request that was suspected wrongly, or whose upstreams were mended by a release, came back after two minutes or more only.

--- a/src/node.rs
+++ b/src/node.rs
@@ -403,6 +403,12 @@
         }
     }
 
+    /// Ends the suspicion that a request ends upstreams, on all instances, by its logged fingerprint.
+    pub fn pardon_request(&self, fingerprint: &str) {
+        let known = self.suspects.borrow_mut().pardon(boot_millis(), fingerprint);
+        log::info!(fingerprint, known; "request pardoned");
+    }
+
     /// Makes requests wait for keys that their owner is about to release; returns whether any of
     /// the ranges was not paused for this move before.
     pub(crate) fn pause_keys(&self, moving: &MovingKeys) -> bool {
--- a/src/suspects.rs
+++ b/src/suspects.rs
@@ -175,6 +175,12 @@
         cleared
     }
 
+    /// Clears the request with the given printed fingerprint; returns whether it was a suspect.
+    pub fn pardon(&mut self, now: Millis, fingerprint: &str) -> bool {
+        let known = self.by_fingerprint.keys().find(|f| f.to_string() == fingerprint).copied();
+        known.is_some_and(|f| self.clear(now, f))
+    }
+
     /// Takes over what another instance knows; returns whether any of it was new.
     pub fn merge(&mut self, now: Millis, notices: &[Notice]) -> bool {
         let mut changed = false;
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -120,7 +120,8 @@
 #[test]
 fn pardoned_request_is_served_everywhere() {
     let (mut suspects, mut other) = (suspects_with_ends(3), suspects_with_ends(3));
-    assert!(suspects.clear(4_000, fingerprint(0)));
+    assert!(suspects.pardon(4_000, &fingerprint(0).to_string()));
+    assert!(!suspects.pardon(4_000, &fingerprint(1).to_string()));
     other.merge(4_010, &suspects.take_unpublished(4_010));
     assert_eq!(other.rejected_for(4_020, &fingerprint(0)), None);
 }
