--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -19,7 +19,7 @@
     clock::Millis,
     collections::HashMap,
     keymap::{KeyMap, KeyRange, Owner, Span, subtract},
-    sweep::Sweep,
+    sweep::Uncertainty,
 };
 use std::sync::Arc;
 
@@ -223,29 +223,6 @@
     next_order_id: OrderId,
 }
 
-/// The state of a coordinator that does not know the last owners for certain, until its first commit.
-///
-/// Until the end of the sweep, or until every grant of an earlier coordinator must have expired, no
-/// owners are committed, as upstreams that are not known as owners may hold keys. No key is granted
-/// before that commit: keys may have been held elsewhere with higher fences than those of the owners
-/// that are known.
-#[derive(Debug)]
-struct Uncertainty {
-    /// When a sweep may begin: what earlier coordinators have sent must have arrived, as an upstream
-    /// that starts again after its release has seen no fence.
-    sweep_at: Millis,
-    /// The sweep, once it has begun.
-    sweep: Option<Sweep>,
-    /// When the last grant of an earlier coordinator must have expired.
-    until: Millis,
-}
-
-impl Uncertainty {
-    fn may_commit(&self, now: Millis) -> bool {
-        now >= self.until || self.sweep.as_ref().is_some_and(|s| s.pending().next().is_none())
-    }
-}
-
 /// Returns how long a grant lasts from its arrival at most, if the upstream's clock is the slowest.
 fn max_hold(hold: Millis) -> Millis {
     hold + hold * MAX_CLOCK_DRIFT_PER_MILLE / 1_000
@@ -291,12 +268,10 @@
         owners: KeyMap,
         revision: u64,
     ) -> Self {
-        let uncertainty = Uncertainty {
-            sweep_at: now + GRANT_TRANSIT_MS + LAST_PACKET_MS,
-            sweep: None,
-            until: latest_expiry(now, times.outage_hold),
-        };
-        Self { uncertainty: Some(uncertainty), ..Self::new(now, times, owners, revision) }
+        let sweep_at = now + GRANT_TRANSIT_MS + LAST_PACKET_MS;
+        let until = latest_expiry(now, times.outage_hold);
+        let uncertainty = Some(Uncertainty::new(sweep_at, until));
+        Self { uncertainty, ..Self::new(now, times, owners, revision) }
     }
 
     /// Returns the committed owners.
@@ -599,8 +574,7 @@
 
     /// Returns the upstreams that a sweep waits for.
     pub fn sweep_pending(&self) -> impl Iterator<Item = &Arc<str>> {
-        let sweep = self.uncertainty.as_ref().and_then(|u| u.sweep.as_ref());
-        sweep.into_iter().flat_map(Sweep::pending)
+        self.uncertainty.iter().flat_map(Uncertainty::pending)
     }
 
     /// Returns the due releases of the sweep that makes the owners certain, and records them as sent;
@@ -608,22 +582,17 @@
     ///
     /// Once all have released what the known owners do not give them, the next commit is due.
     pub fn due_sweep_releases(&mut self, now: Millis, holders: &[Owner]) -> Vec<ReleaseOrder> {
-        let Some(uncertainty) = self.uncertainty.as_mut().filter(|u| now >= u.sweep_at) else {
+        let Some(uncertainty) = &mut self.uncertainty else {
             return Vec::new();
         };
-        let sweep = uncertainty.sweep.get_or_insert_default();
-        // Known owners may hold keys too, listed or not.
-        let is_listed = |o: &Owner| holders.iter().any(|h| h.id == o.id);
-        let owners = self.owners.spans.iter().map(|s| &s.owner).filter(|o| !is_listed(o));
-        let mut upstreams: Vec<Owner> = holders.iter().chain(owners).cloned().collect();
-        upstreams.dedup();
         let next_order_id = &mut self.next_order_id;
         let new_order_id = || {
             let id = *next_order_id;
             *next_order_id += 1;
             id
         };
-        sweep.due_releases(now, &self.owners, self.revision + 1, &upstreams, new_order_id)
+        let fence = self.revision + 1;
+        uncertainty.due_releases(now, &self.owners, fence, holders, new_order_id)
     }
 
     /// Returns the releases that are due, and records them as sent.
@@ -664,8 +633,8 @@
 
     /// Handles the outcome of a release.
     pub fn on_release_outcome(&mut self, now: Millis, id: OrderId, outcome: &OrderOutcome) {
-        let sweep = self.uncertainty.as_mut().and_then(|u| u.sweep.as_mut());
-        if sweep.is_some_and(|s| s.on_outcome(now, id, outcome)) {
+        let uncertainty = self.uncertainty.as_mut();
+        if uncertainty.is_some_and(|u| u.on_outcome(now, id, outcome)) {
             return;
         }
         let Some(m) = self.moves.iter_mut().find(|m| m.release_order_id == Some(id)) else {
--- a/src/ended_upstreams.rs
+++ b/src/ended_upstreams.rs
@@ -58,7 +58,13 @@
 /// Tells the other instances what has changed since the last call.
 pub(crate) fn publish(node: &Rc<Node>) {
     let now = boot_millis();
-    let notices = node.suspects.borrow_mut().take_unpublished(now);
+    let mut suspects = node.suspects.borrow_mut();
+    if let Some(rejected) = suspects.expire(now) {
+        #[expect(clippy::cast_precision_loss, reason = "small numbers")]
+        metrics::gauge!("mulberryspur_rejected_fingerprints").set(rejected as f64);
+    }
+    let notices = suspects.take_unpublished(now);
+    drop(suspects);
     if !notices.is_empty() {
         gossip::broadcast(node, &Message::Suspects { notices, relayed: false });
     }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -430,7 +430,7 @@
             let (name, healthy) = (node.cfg.name.clone(), node.follows_store());
             let relay = relay(node);
             let status = Message::StoreStatus { name, healthy, relay };
-            let notices = node.suspects.borrow().notices(boot_millis());
+            let notices = node.suspects.borrow_mut().next_notices(boot_millis());
             let suspects =
                 (!notices.is_empty()).then_some(Message::Suspects { notices, relayed: true });
             delta.into_iter().chain(request).chain([status]).chain(suspects).collect()
--- a/src/suspects.rs
+++ b/src/suspects.rs
@@ -33,8 +33,12 @@
 const MAX_SUSPECTS: usize = 1_024;
 /// Maximum number of ends that are remembered of one request.
 const MAX_REMEMBERED_ENDS: usize = 8;
-/// Maximum number of requests in one message to another instance.
+/// Maximum number of requests that are told to an instance that may have missed earlier notices, and in
+/// one message of what has changed.
 const MAX_NOTICES: usize = 32;
+/// Maximum number of requests in the reply to a digest: all of [`MAX_NOTICES`] have had their turn
+/// within eight replies, 2.4 s.
+const NOTICES_PER_REPLY: usize = 4;
 
 /// The end of an upstream under a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -128,6 +132,8 @@
     paths: HashMap<u64, usize>,
     /// Requests whose state has changed and was not told to others.
     unpublished: Vec<Fingerprint>,
+    /// Position of the next request to tell in reply to a digest.
+    turn: usize,
     /// When requests are dropped next that are remembered no longer.
     expire_at: Millis,
 }
@@ -200,7 +206,6 @@
 
     /// Returns what has changed and was not told to others yet.
     pub fn take_unpublished(&mut self, now: Millis) -> Vec<Notice> {
-        self.expire(now);
         let mut fingerprints = std::mem::take(&mut self.unpublished);
         if fingerprints.len() > MAX_NOTICES {
             self.unpublished = fingerprints.split_off(MAX_NOTICES);
@@ -208,16 +213,21 @@
         fingerprints.into_iter().filter_map(|f| self.notice(now, f)).collect()
     }
 
-    /// Returns what an instance that may have missed earlier notices must know: requests under which
-    /// upstreams have ended more than once, and those that were cleared a moment ago.
-    #[must_use]
-    pub fn notices(&self, now: Millis) -> Vec<Notice> {
+    /// Returns some of what an instance that may have missed earlier notices must know, in turn:
+    /// requests under which upstreams have ended more than once, and those that were cleared a moment
+    /// ago.
+    pub fn next_notices(&mut self, now: Millis) -> Vec<Notice> {
         let matters = |s: &Suspect| s.count() > 1 || s.cleared_at.is_some();
         let mut known: Vec<(&Fingerprint, &Suspect)> =
             self.by_fingerprint.iter().filter(|(_, s)| matters(s)).collect();
         known.sort_by_key(|(_, s)| std::cmp::Reverse((s.count(), s.last_end())));
         known.truncate(MAX_NOTICES);
-        known.into_iter().filter_map(|(f, _)| self.notice(now, *f)).collect()
+        let turn = self.turn % known.len().max(1);
+        known.rotate_left(turn);
+        known.truncate(NOTICES_PER_REPLY);
+        let notices = known.into_iter().filter_map(|(f, _)| self.notice(now, *f)).collect();
+        self.turn = turn + NOTICES_PER_REPLY;
+        notices
     }
 
     fn notice(&self, now: Millis, fingerprint: Fingerprint) -> Option<Notice> {
@@ -243,12 +253,16 @@
         self.by_fingerprint.entry(fingerprint).or_default()
     }
 
-    /// Drops requests that are remembered no longer, at most every [`EXPIRY_INTERVAL_MS`].
-    fn expire(&mut self, now: Millis) {
-        if now >= self.expire_at {
-            self.expire_at = now + EXPIRY_INTERVAL_MS;
-            self.remove_where(|s| now >= s.forget_at());
+    /// Drops requests that are remembered no longer, at most every [`EXPIRY_INTERVAL_MS`]; returns the
+    /// number of requests that are rejected at `now` if it did.
+    pub fn expire(&mut self, now: Millis) -> Option<usize> {
+        if now < self.expire_at {
+            return None;
         }
+        self.expire_at = now + EXPIRY_INTERVAL_MS;
+        self.remove_where(|s| now >= s.forget_at());
+        let rejected = |s: &&Suspect| s.rejected_until().is_some_and(|t| t > now);
+        Some(self.by_fingerprint.values().filter(rejected).count())
     }
 
     fn remove_where(&mut self, is_removed: impl Fn(&Suspect) -> bool) {
@@ -264,11 +278,4 @@
             !removed
         });
     }
-
-    /// Returns the number of requests that are rejected at `now`.
-    #[must_use]
-    pub fn rejected_count(&self, now: Millis) -> usize {
-        let rejected = |s: &&Suspect| s.rejected_until().is_some_and(|t| t > now);
-        self.by_fingerprint.values().filter(rejected).count()
-    }
 }
--- a/src/sweep.rs
+++ b/src/sweep.rs
@@ -31,10 +31,20 @@
 /// notices.
 const UPSTREAM_MEMORY_MS: Millis = 15_000;
 
-/// The releases of one sweep.
-#[derive(Debug, Default)]
-pub(crate) struct Sweep {
-    /// Releases by the identity of the upstream.
+/// The state of a coordinator that does not know the last owners for certain, until its first commit.
+///
+/// Until the end of the sweep, or until every grant of an earlier coordinator must have expired, no
+/// owners are committed, as upstreams that are not known as owners may hold keys. No key is granted
+/// before that commit: keys may have been held elsewhere with higher fences than those of the owners
+/// that are known.
+#[derive(Debug)]
+pub(crate) struct Uncertainty {
+    /// When the sweep may begin: what earlier coordinators have sent must have arrived, as an upstream
+    /// that starts again after its release has seen no fence.
+    sweep_at: Millis,
+    /// When the last grant of an earlier coordinator must have expired.
+    until: Millis,
+    /// Releases by the identity of the upstream; empty before the sweep.
     releases: HashMap<Arc<str>, Vec<Release>>,
 }
 
@@ -53,19 +63,34 @@
     Done,
 }
 
-impl Sweep {
-    /// Adds upstreams that are not known yet, and returns the releases that are due at `now`,
-    /// recorded as sent.
+impl Uncertainty {
+    pub fn new(sweep_at: Millis, until: Millis) -> Self {
+        Self { sweep_at, until, releases: HashMap::default() }
+    }
+
+    /// Returns whether owners may be committed.
+    pub fn may_commit(&self, now: Millis) -> bool {
+        let is_swept = !self.releases.is_empty() && self.pending().next().is_none();
+        now >= self.until || is_swept
+    }
+
+    /// Returns the releases that are due at `now`, recorded as sent; `holders` are all upstreams that
+    /// may hold keys besides the known owners.
     pub fn due_releases(
         &mut self,
         now: Millis,
         owners: &KeyMap,
         fence: u64,
-        upstreams: &[Owner],
+        holders: &[Owner],
         mut new_order_id: impl FnMut() -> OrderId,
     ) -> Vec<ReleaseOrder> {
+        if now < self.sweep_at {
+            return Vec::new();
+        }
+        let is_listed = |o: &Owner| holders.iter().any(|h| h.id == o.id);
+        let known = owners.spans.iter().map(|s| &s.owner).filter(|o| !is_listed(o));
         let mut orders = Vec::new();
-        for owner in upstreams {
+        for owner in holders.iter().chain(known) {
             let releases = self.releases.entry(owner.id.clone()).or_insert_with(|| {
                 let own = owners.spans.iter().filter(|s| s.owner.id == owner.id);
                 let others = subtract(KeyRange::new(0, Key::MAX), own.map(|s| s.range));
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -89,7 +89,7 @@
 #[test]
 fn late_news_of_ends_before_an_answer_do_not_count() {
     let mut suspects = suspects_with_ends(3);
-    let news = suspects.notices(3_000);
+    let news = suspects.next_notices(3_000);
     suspects.clear(3_500, fingerprint(0));
     // The notice was under way for 600 ms.
     let on_the_way: Vec<Notice> = news
@@ -135,9 +135,28 @@
         suspects.on_end(at, fingerprint(usize::try_from(n).unwrap()), end(100 + n, at));
     }
     assert!(suspects.rejected_for(20_000, &fingerprint(0)).is_some());
+    assert_eq!(suspects.expire(20_000), Some(1));
     let known = (1..5_000).filter(|n| suspects.end_count(&fingerprint(*n)) > 0).count();
     assert!(known <= 1_024, "{known} are remembered");
-    assert!(suspects.notices(600_000).len() <= 32);
+    assert!(suspects.next_notices(600_000).len() <= 4);
+}
+
+/// An instance that has missed everything learns of all rejected requests in turn.
+#[test]
+fn replies_tell_of_all_rejected_requests() {
+    let (mut suspects, mut other) = (Suspects::default(), Suspects::default());
+    for n in 0..30u64 {
+        for round in 1..=3 {
+            let at = round * 1_000 + n;
+            let request = fingerprint(usize::try_from(n).unwrap());
+            suspects.on_end(at, request, end(n * 10 + round, at));
+        }
+    }
+    for _ in 0..8 {
+        other.merge(4_000, &suspects.next_notices(4_000));
+    }
+    let rejected = (0..30).filter(|n| other.rejected_for(4_000, &fingerprint(*n)).is_some());
+    assert_eq!(rejected.count(), 30);
 }
 
 /// Instances that send each other notices with delays and losses, and a caller who sends one request
@@ -181,7 +200,7 @@
     fn gossip(&mut self, now: u64) {
         for to in 0..self.instances.len() {
             let from = self.rng.random_range(0..self.instances.len());
-            let notices = self.instances[from].notices(now);
+            let notices = self.instances[from].next_notices(now);
             self.notices.push((now + 20, to, now, notices));
         }
     }
