Recognise a request that ends upstreams from any address

Requests that end upstreams were counted by content and caller's address, and the caller's address changes between repeats: it is sent on to an instance of whatever data centre it comes from. A part of the identity that the sender does not keep made each repeat a new request.

Each end counts for the request's content now, and for its content and caller's address beside it. The first one recognises it wherever it comes from. The second one keeps what the address was there for: if a request ends upstreams only as one caller sends it, the answers to others clear the first, and that caller alone is rejected.

--- a/src/ended_upstreams.rs
+++ b/src/ended_upstreams.rs
@@ -23,7 +23,8 @@
 #[derive(Debug)]
 pub(crate) struct BrokenRequest {
     pub id: Arc<str>,
-    pub fingerprint: Fingerprint,
+    /// Of its content, and of its content and caller.
+    pub fingerprints: [Fingerprint; 2],
     pub sent_at: Millis,
 }
 
@@ -41,15 +42,17 @@
             // Only the connection was lost.
             return;
         }
-        let BrokenRequest { id, fingerprint, sent_at } = request;
+        let BrokenRequest { id, fingerprints, sent_at } = request;
         let incarnation = xxh3_64(format!("{}/{}", upstream.id, upstream.started).as_bytes());
         let end = End { incarnation, sent_at, ended_at };
-        let ends = node.suspects.borrow_mut().on_end(boot_millis(), fingerprint, end);
+        let now = boot_millis();
+        let [ends, ends_for_caller] =
+            fingerprints.map(|f| node.suspects.borrow_mut().on_end(now, f, end));
         let service = upstream.service.to_string();
         metrics::counter!("mulberryspur_upstream_ends_total", "service" => service).increment(1);
         log::warn!(
             request = &*id, upstream = &*upstream.id, service = &*upstream.service,
-            fingerprint = fingerprint.to_string(), ends;
+            fingerprint = fingerprints[0].to_string(), ends, ends_for_caller;
             "upstream ended under a request"
         );
     });
--- a/src/fingerprint.rs
+++ b/src/fingerprint.rs
@@ -10,7 +10,7 @@
 /// Bytes of the digest that are kept.
 const DIGEST_BYTES: usize = 16;
 
-/// Identity of a request by its caller, method, host, path, query and body.
+/// Identity of a request by its method, host, path, query and body, from any caller or from one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Fingerprint {
     /// See [`path_hash`].
@@ -18,6 +18,8 @@
     /// Cryptographic, as callers who find two requests with one digest could have the requests of
     /// others rejected.
     digest: [u8; DIGEST_BYTES],
+    /// Address of the caller, if only its requests are meant.
+    caller: Option<IpAddr>,
 }
 
 /// The body of a request, as far as it is known.
@@ -36,15 +38,14 @@
 }
 
 impl Fingerprint {
-    /// Computes the fingerprint of a request.
+    /// Computes the fingerprint of a request from any caller.
     #[must_use]
-    pub fn new(caller: IpAddr, head: &Parts, body: KnownBody) -> Self {
+    pub fn new(head: &Parts, body: KnownBody) -> Self {
         let mut hash = Sha256::new();
         let mut add = |part: &[u8]| {
             hash.update((part.len() as u64).to_le_bytes());
             hash.update(part);
         };
-        add(caller.to_string().as_bytes());
         add(head.method.as_str().as_bytes());
         add(head.headers.get(HOST).map_or(b"", |h| h.as_bytes()));
         add(head.uri.to_string().as_bytes());
@@ -54,10 +55,23 @@
         }
         let mut digest = [0; DIGEST_BYTES];
         digest.copy_from_slice(&hash.finalize()[..DIGEST_BYTES]);
-        Self { path_hash: path_hash(&head.uri), digest }
+        Self { path_hash: path_hash(&head.uri), digest, caller: None }
+    }
+
+    /// Returns the fingerprint of the same request from one caller only.
+    #[must_use]
+    pub fn with_caller(self, caller: IpAddr) -> Self {
+        Self { caller: Some(caller), ..self }
+    }
+
+    /// Returns the address of the caller, if only its requests are meant.
+    #[must_use]
+    pub fn caller(&self) -> Option<IpAddr> {
+        self.caller
     }
 }
 
+/// Prints the digest, which is the same for all callers.
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.digest.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
--- a/src/request_handler.rs
+++ b/src/request_handler.rs
@@ -230,8 +230,8 @@
         }
         in_flight.end(report.completion, report.feedback.load);
         if report.broke_off {
-            let (id, fingerprint) = (cx.id.clone(), identity.fingerprint(&body));
-            ended_upstreams::check(node, &upstream, BrokenRequest { id, fingerprint, sent_at });
+            let (id, fingerprints) = (cx.id.clone(), identity.fingerprints(&body));
+            ended_upstreams::check(node, &upstream, BrokenRequest { id, fingerprints, sent_at });
         }
         if report.completion != Completion::Unreachable {
             cx.attempts += 1;
@@ -287,24 +287,28 @@
 }
 
 impl RequestIdentity<'_> {
-    fn fingerprint(&self, body: &RequestBody) -> Fingerprint {
+    /// Returns the fingerprints of the request's content, and of its content and caller.
+    fn fingerprints(&self, body: &RequestBody) -> [Fingerprint; 2] {
         let bytes = body.bytes();
         let streamed = KnownBody::Streamed(self.declared_length);
         let known_body = bytes.as_ref().map_or(streamed, |b| KnownBody::Whole(b));
-        Fingerprint::new(self.caller, self.head, known_body)
+        let content = Fingerprint::new(self.head, known_body);
+        [content, content.with_caller(self.caller)]
     }
 
-    /// Returns the fingerprint if an upstream may have ended under the request; that of others is not
-    /// computed.
-    fn suspected_fingerprint(&self, node: &Node, body: &RequestBody) -> Option<Fingerprint> {
+    /// Returns the fingerprints if an upstream may have ended under the request; those of others are
+    /// not computed.
+    fn suspected_fingerprints(&self, node: &Node, body: &RequestBody) -> Option<[Fingerprint; 2]> {
         let is_possible = node.suspects.borrow().has_path(path_hash(&self.head.uri));
-        is_possible.then(|| self.fingerprint(body))
+        is_possible.then(|| self.fingerprints(body))
     }
 
     /// Returns how often upstreams have ended under the request.
     fn end_count(&self, node: &Node, body: &RequestBody) -> usize {
-        let fingerprint = self.suspected_fingerprint(node, body);
-        fingerprint.map_or(0, |f| node.suspects.borrow().end_count(&f))
+        let suspects = node.suspects.borrow();
+        let fingerprints = self.suspected_fingerprints(node, body);
+        let counts = fingerprints.iter().flatten().map(|f| suspects.end_count(f));
+        counts.max().unwrap_or(0)
     }
 }
 
@@ -315,10 +319,11 @@
     identity: &RequestIdentity,
     body: &RequestBody,
 ) -> Result<(), LocalResponse> {
-    let Some(fingerprint) = identity.suspected_fingerprint(node, body) else {
+    let Some(fingerprints) = identity.suspected_fingerprints(node, body) else {
         return Ok(());
     };
-    match node.suspects.borrow().rejected_for(boot_millis(), &fingerprint) {
+    let (now, suspects) = (boot_millis(), node.suspects.borrow());
+    match fingerprints.iter().filter_map(|f| suspects.rejected_for(now, f)).max() {
         Some(retry_after) => Err(unserved_response(cx, "ends upstreams", retry_after)),
         None => Ok(()),
     }
@@ -326,10 +331,11 @@
 
 /// Records that an upstream has answered the request, which therefore does not end upstreams.
 fn clear_suspicion(node: &Node, identity: &RequestIdentity, body: &RequestBody) {
-    if let Some(fingerprint) = identity.suspected_fingerprint(node, body)
-        && node.suspects.borrow_mut().clear(boot_millis(), fingerprint)
-    {
-        log::info!(fingerprint = fingerprint.to_string(); "request is no longer suspected");
+    for fingerprint in identity.suspected_fingerprints(node, body).into_iter().flatten() {
+        if node.suspects.borrow_mut().clear(boot_millis(), fingerprint) {
+            let caller = fingerprint.caller().map(|c| c.to_string());
+            log::info!(fingerprint = fingerprint.to_string(), caller; "request is no longer suspected");
+        }
     }
 }
 
--- a/src/suspects.rs
+++ b/src/suspects.rs
@@ -9,6 +9,11 @@
 //! rejected only after it has ended upstreams [`MAX_ENDS`] times, one after the other: upstreams that
 //! end while copies of it run at all of them count once. One that has been answered since is
 //! innocent.
+//!
+//! Each request is counted under two fingerprints, that of its content and that of its content and
+//! caller. A caller's address may change, and then only the first one shows that it is the same
+//! request. If it ends upstreams for something that only one caller sends with it, the answers to
+//! others clear the first one, and the second one remains.
 
 use crate::{clock::Millis, collections::HashMap, fingerprint::Fingerprint};
 use serde::{Deserialize, Serialize};
@@ -181,10 +186,12 @@
         cleared
     }
 
-    /// Clears the request with the given printed fingerprint; returns whether it was a suspect.
+    /// Clears the request with the given printed fingerprint, from all callers; returns whether it was
+    /// a suspect.
     pub fn pardon(&mut self, now: Millis, fingerprint: &str) -> bool {
-        let known = self.by_fingerprint.keys().find(|f| f.to_string() == fingerprint).copied();
-        known.is_some_and(|f| self.clear(now, f))
+        let known = self.by_fingerprint.keys().filter(|f| f.to_string() == fingerprint);
+        let known: Vec<Fingerprint> = known.copied().collect();
+        known.into_iter().filter(|f| self.clear(now, *f)).count() > 0
     }
 
     /// Takes over what another instance knows; returns whether any of it was new.
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -8,17 +8,16 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::net::{IpAddr, Ipv4Addr};
 
-const CALLER: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 7));
 /// Time in milliseconds for which a request runs before its upstream ends.
 const RUN_MS: u64 = 30;
 
-fn fingerprint_of(caller: IpAddr, path: &str, body: &str) -> Fingerprint {
+fn fingerprint_of(path: &str, body: &str) -> Fingerprint {
     let req = Request::get(path).header("host", "shop.example").body(()).expect("request");
-    Fingerprint::new(caller, &req.into_parts().0, KnownBody::Whole(body.as_bytes()))
+    Fingerprint::new(&req.into_parts().0, KnownBody::Whole(body.as_bytes()))
 }
 
 fn fingerprint(n: usize) -> Fingerprint {
-    fingerprint_of(CALLER, &format!("/orders/{n}"), "paper")
+    fingerprint_of(&format!("/orders/{n}"), "paper")
 }
 
 fn end(incarnation: u64, ended_at: u64) -> End {
@@ -36,12 +35,13 @@
 
 #[test]
 fn fingerprint_differs_by_caller_path_and_body() {
-    let first = fingerprint_of(CALLER, "/orders/1?a=1", "paper");
-    assert_eq!(first, fingerprint_of(CALLER, "/orders/1?a=1", "paper"));
-    let other_caller = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 8));
-    assert_ne!(first, fingerprint_of(other_caller, "/orders/1?a=1", "paper"));
-    assert_ne!(first, fingerprint_of(CALLER, "/orders/1?a=2", "paper"));
-    assert_ne!(first, fingerprint_of(CALLER, "/orders/1?a=1", "papers"));
+    let first = fingerprint_of("/orders/1?a=1", "paper");
+    assert_eq!(first, fingerprint_of("/orders/1?a=1", "paper"));
+    assert_ne!(first, fingerprint_of("/orders/1?a=2", "paper"));
+    assert_ne!(first, fingerprint_of("/orders/1?a=1", "papers"));
+    let callers = [7, 8].map(|n| first.with_caller(IpAddr::V4(Ipv4Addr::new(10, 0, 0, n))));
+    assert_ne!(callers[0], callers[1]);
+    assert_ne!(callers[0], first);
 }
 
 #[test]
@@ -53,6 +53,26 @@
     assert_eq!(suspects.rejected_for(3_001, &fingerprint(1)), None);
 }
 
+/// The request of one caller ends upstreams, the same one of others is answered: only that caller's
+/// is rejected.
+#[test]
+fn request_of_one_caller_is_rejected() {
+    let mut suspects = Suspects::default();
+    let callers =
+        [7, 8].map(|n| fingerprint(0).with_caller(IpAddr::V4(Ipv4Addr::new(10, 0, 0, n))));
+    for n in 1..=3 {
+        for counted in [fingerprint(0), callers[0]] {
+            suspects.on_end(n * 1_000, counted, end(n, n * 1_000));
+        }
+        for answered in [fingerprint(0), callers[1]] {
+            suspects.clear(n * 1_000 + 500, answered);
+        }
+    }
+    assert!(suspects.rejected_for(3_600, &callers[0]).is_some());
+    assert_eq!(suspects.rejected_for(3_600, &callers[1]), None);
+    assert_eq!(suspects.rejected_for(3_600, &fingerprint(0)), None);
+}
+
 /// The same end that several instances have seen counts once.
 #[test]
 fn end_of_one_incarnation_counts_once() {
@@ -120,10 +140,15 @@
 #[test]
 fn pardoned_request_is_served_everywhere() {
     let (mut suspects, mut other) = (suspects_with_ends(3), suspects_with_ends(3));
+    let from_caller = fingerprint(0).with_caller(IpAddr::V4(Ipv4Addr::LOCALHOST));
+    for n in 1..=3 {
+        suspects.on_end(n * 1_000, from_caller, end(n, n * 1_000));
+    }
     assert!(suspects.pardon(4_000, &fingerprint(0).to_string()));
     assert!(!suspects.pardon(4_000, &fingerprint(1).to_string()));
     other.merge(4_010, &suspects.take_unpublished(4_010));
     assert_eq!(other.rejected_for(4_020, &fingerprint(0)), None);
+    assert_eq!(suspects.rejected_for(4_020, &from_caller), None);
 }
 
 /// Someone ends an upstream with each of many requests: what is known of others stays.
