Read a restored lease again when it may be taken over

Trace: the first read of the lease came at 2.10 s, some milliseconds before it could be taken over, and the next one 1.05 s later, as the pause between reads counted from that read and not from the restore, which the takeover itself does. Both count from the same moment now, so the next read comes after 0.3 s.

--- a/src/lease.rs
+++ b/src/lease.rs
@@ -77,7 +77,8 @@
 
 #[derive(Debug, Clone)]
 enum State {
-    /// Holds nothing; the row's revision that was read last, and when it was first seen.
+    /// Holds nothing; the row's revision that was read last, and since when it is known to have been
+    /// the same.
     Watching(Option<(u64, Millis)>),
     Holding {
         revision: u64,
@@ -128,24 +129,26 @@
         // A write whose answer was lost may have been carried out. In a restored store, no other
         // instance takes the lease before this one's has ended.
         let still_holds = if restored { self.is_valid(sent) } else { own_process };
+        // A row that has not been written since an earlier moment has been unchanged since then.
+        let (seen, seen_at) = self.first_seen;
+        let is_older = revision <= seen && generation == revision::generation(seen);
+        let unchanged_since = if is_older { seen_at.min(sent) } else { sent };
         match &mut self.state {
             State::Holding { revision: held, .. } if still_holds => {
                 *held = revision;
                 return None;
             }
-            State::Holding { .. } => self.state = State::Watching(Some((revision, sent))),
+            State::Holding { .. } => {
+                self.state = State::Watching(Some((revision, unchanged_since)));
+            }
             State::Watching(observed) => match observed {
-                Some((r, _)) if *r == revision => {}
-                _ => *observed = Some((revision, sent)),
+                Some((r, since)) if *r == revision => *since = unchanged_since.min(*since),
+                _ => *observed = Some((revision, unchanged_since)),
             },
         }
         let State::Watching(Some((_, since))) = &self.state else {
             return None;
         };
-        // A row that has not been written since an earlier moment has been unchanged since then.
-        let (seen, seen_at) = self.first_seen;
-        let is_older = revision <= seen && generation == revision::generation(seen);
-        let since = if is_older { seen_at.min(*since) } else { *since };
         // An earlier process of this instance ended before this one started.
         let own_name = row.is_some_and(|r| r.holder.as_deref() == Some(&*self.name));
         let is_free = row.is_none_or(|r| r.holder.is_none()) || own_process || own_name;
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -198,6 +198,7 @@
     let restored = revision::new(1, 4);
     let mut other = lease.clone();
     assert_eq!(lease.on_read(1_000, Some(&row), restored), None);
+    assert!(lease.read_delay(1_000) <= (100 + TAKEOVER_WAIT_MS - 1_000) / 2);
     assert_eq!(lease.on_read(100 + TAKEOVER_WAIT_MS, Some(&row), restored), Some(restored));
     let written_later = revision::new(1, 10);
     assert_eq!(other.on_read(1_000, Some(&row), written_later), None);
