--- a/review/support/harness.rs
+++ b/review/support/harness.rs
@@ -332,6 +332,72 @@
     address
 }
 
+/// A server that may end and come back at the same address.
+#[derive(Clone)]
+pub struct Mortal {
+    pub address: SocketAddr,
+    /// Whether it is up.
+    up: Arc<Mutex<bool>>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Mortal {
+    /// Serves connections as [`serve`] does, while it is up.
+    pub fn serve(ip: &str, new_handler: impl Fn() -> Handler + Send + Sync + 'static) -> Self {
+        let mut listener = Some(TcpListener::bind((ip, 0)).expect("bind"));
+        let address = listener.as_ref().unwrap().local_addr().expect("address");
+        let this = Self { address, up: Arc::new(Mutex::new(true)), open: Arc::default() };
+        let mortal = this.clone();
+        let new_handler = Arc::new(new_handler);
+        thread::spawn(move || loop {
+            let up = *mortal.up.lock().unwrap();
+            if !up {
+                listener = None;
+            } else if listener.is_none() {
+                listener = TcpListener::bind(address).ok();
+            }
+            let Some(l) = &listener else {
+                thread::sleep(Duration::from_millis(2));
+                continue;
+            };
+            let _ = l.set_nonblocking(true);
+            let Ok((stream, _)) = l.accept() else {
+                thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            let _ = stream.set_nonblocking(false);
+            let _ = stream.set_nodelay(true);
+            let Ok(kept) = stream.try_clone() else { continue };
+            mortal.open.lock().unwrap().push(kept);
+            let new_handler = new_handler.clone();
+            thread::spawn(move || {
+                let mut handler = new_handler();
+                let Ok(mut writer) = stream.try_clone() else { return };
+                let mut reader = BufReader::new(stream);
+                while let Ok(Some(req)) = read_request(&mut reader) {
+                    if handler(&req, &mut writer).is_err() {
+                        return;
+                    }
+                }
+            });
+        });
+        this
+    }
+
+    /// Ends the server: nobody listens, and all its connections are closed.
+    pub fn end(&self) {
+        *self.up.lock().unwrap() = false;
+        thread::sleep(Duration::from_millis(4));
+        for stream in self.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    pub fn come_back(&self) {
+        *self.up.lock().unwrap() = true;
+    }
+}
+
 /// The answer that a client got.
 #[derive(Debug, Clone)]
 pub struct Answer {
