--- a/review/support/harness.rs
+++ b/review/support/harness.rs
@@ -44,7 +44,7 @@
 
     /// The same, and prints the line.
     pub fn say(&self, text: &str) {
-        println!("{text}");
+        let _ = writeln!(io::stdout(), "{text}");
         self.line(text);
     }
 }
@@ -634,6 +634,55 @@
     response(status, &[("content-type", "application/json")], body.as_bytes())
 }
 
+/// A proxy that loses everything while it is cut, without closing a connection.
+#[derive(Clone)]
+pub struct Proxy {
+    pub address: SocketAddr,
+    /// Whether nothing is passed on.
+    cut: Arc<Mutex<bool>>,
+}
+
+impl Proxy {
+    pub fn start(ip: &str, target: SocketAddr) -> Self {
+        let listener = TcpListener::bind((ip, 0)).expect("bind");
+        let address = listener.local_addr().expect("address");
+        let this = Self { address, cut: Arc::default() };
+        let proxy = this.clone();
+        thread::spawn(move || {
+            for client in listener.incoming() {
+                let Ok(client) = client else { continue };
+                let Ok(server) = TcpStream::connect(target) else { continue };
+                for (from, to) in [(&client, &server), (&server, &client)] {
+                    let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else { continue };
+                    let proxy = proxy.clone();
+                    thread::spawn(move || proxy.pass_on(from, to));
+                }
+            }
+        });
+        this
+    }
+
+    pub fn set_cut(&self, cut: bool) {
+        *self.cut.lock().unwrap() = cut;
+    }
+
+    fn pass_on(&self, mut from: TcpStream, mut to: TcpStream) {
+        let _ = to.set_nodelay(true);
+        let mut buf = [0; 16 * 1024];
+        let mut lost = false;
+        while let Ok(n) = from.read(&mut buf) {
+            // A connection of which something was lost carries nothing any more.
+            lost |= *self.cut.lock().unwrap();
+            if n == 0 || !lost && to.write_all(&buf[..n]).is_err() {
+                break;
+            }
+        }
+        if !lost {
+            let _ = to.shutdown(std::net::Shutdown::Write);
+        }
+    }
+}
+
 // ---------------------------------------------------------------- instances
 
 /// An instance of the system; its process is killed when this is dropped.
@@ -772,7 +821,7 @@
     let until = Instant::now() + limit;
     while !done() {
         if Instant::now() > until {
-            println!("could not run: {what}");
+            let _ = writeln!(io::stdout(), "could not run: {what}");
             EXIT_TOO_LATE.store(1, Ordering::Relaxed);
             return;
         }
