End responses at their deadline

Cause: the timeout of an attempt ended with the head of a response that is passed on while it arrives. Nothing bounded the rest, neither in mulberryspur-platform nor in mulberryd, for responses of upstreams and of other instances alike.

Change: TrackedBody owns the time from the head to the last byte. At the deadline it cuts a response that waits for its sender; one that waits for its caller goes on if all of it has arrived. The request counts as in flight until its response ends, and a response that its upstream left incomplete counts as a failure. A refusal that mulberryd reads is bounded too.

Why it works: the deadline is a point in time that belongs to the request, so no wait on the way to the last byte can extend it.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -383,8 +383,12 @@
         return Ok(AttemptResponse { res, conn, in_flight, outcome, entry_grant: None });
     }
     if res.headers().contains_key(wire::REFUSAL_REASON) {
-        let body = http::read_body("read refusal", &target.name, res, MAX_REFUSAL_BODY_BYTES).await;
-        if body.is_ok() {
+        let body = http::read_body("read refusal", &target.name, res, MAX_REFUSAL_BODY_BYTES);
+        let is_read = tokio::select! {
+            body = body => body.is_ok(),
+            () = &mut timeout => false,
+        };
+        if is_read {
             conn.return_to_pool();
         }
         return Err(
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -2,8 +2,8 @@
 //! `mulberryspur-platform`; the counterpart in `mulberryd` is `attempt`.
 
 use crate::{
-    body::{RequestBody, TrackedBody},
-    clock::Millis,
+    body::{RequestBody, StreamEnd, TrackedBody},
+    clock::{Millis, boot_millis},
     dispatch::{Completion, LoadReport},
     error::Result,
     http::{self, Body},
@@ -12,13 +12,19 @@
     rate_limit::LimitNotice,
     routing_config::UpstreamInfo,
 };
+use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Request, Response, StatusCode, Uri, Version,
     body::Incoming,
     header::{self, HeaderValue},
     http::{request::Parts, response},
 };
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::sync::oneshot;
 
 /// Responses up to this size are read whole before any of it is passed on, so that a retry can
 /// replace one that is interrupted. Larger ones are streamed if they declare their length and are
@@ -58,11 +64,19 @@
     pub feedback: Feedback,
     /// Whether the connection ended while the upstream may have been running the request.
     pub broke_off: bool,
+    /// Tells how a response ends that is passed on while it arrives.
+    pub stream_end: Option<oneshot::Receiver<StreamEnd>>,
 }
 
 impl AttemptReport {
     fn new(result: AttemptResult, completion: Completion) -> Self {
-        Self { result, completion, feedback: Feedback::default(), broke_off: false }
+        Self {
+            result,
+            completion,
+            feedback: Feedback::default(),
+            broke_off: false,
+            stream_end: None,
+        }
     }
 
     fn with_feedback(mut self, feedback: Feedback) -> Self {
@@ -162,14 +176,34 @@
     Feedback { load, limit, leaving, rest_ms: parse_rest(upstream, head) }
 }
 
-/// Sends a request to an upstream once; `time_left` milliseconds remain for it. With `is_repeated`,
-/// the upstream may have had it before.
+/// Deadlines of a request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Deadlines {
+    /// When the upstream must have finished.
+    pub upstream: Millis,
+    /// When the caller gets a response at the latest, and the whole of it must have arrived.
+    pub response: Millis,
+}
+
+impl Deadlines {
+    /// Returns the time in milliseconds that the upstream has.
+    pub fn upstream_time(&self, now: Millis) -> Millis {
+        self.upstream.saturating_sub(now).max(1)
+    }
+
+    /// Returns the time until the response must be there.
+    pub fn response_time(&self, now: Millis) -> Duration {
+        Duration::from_millis(self.response.saturating_sub(now).max(1))
+    }
+}
+
+/// Sends a request to an upstream once. With `is_repeated`, the upstream may have had it before.
 pub(crate) async fn send(
     node: &Rc<Node>,
     head: &Parts,
     body: &mut RequestBody,
     upstream: &UpstreamInfo,
-    time_left: Millis,
+    deadlines: Deadlines,
     is_repeated: bool,
 ) -> AttemptReport {
     // An upstream may send a refusal twice. On the connection of an earlier attempt, which has the
@@ -190,6 +224,7 @@
         }
     };
     let started = Instant::now();
+    let time_left = deadlines.upstream_time(boot_millis());
     let mut req = build_request(node, head, time_left, body.take());
     if let Ok(id) = HeaderValue::from_str(&upstream.id) {
         req.headers_mut().insert(node.adapter.header_names.expected_upstream.clone(), id);
@@ -225,8 +260,10 @@
     let signed = parts.headers.contains_key(&names.signature);
     let status = parts.status;
     let may_stream = status.is_success() && signed;
-    let res = match receive(&upstream.id, parts, incoming, conn, may_stream).await {
-        Ok(res) => res,
+    let stream_until = may_stream.then_some(deadlines.response);
+    let received = receive(&upstream.id, parts, incoming, conn, stream_until).await;
+    let (res, stream_end) = match received {
+        Ok(received) => received,
         Err(e) if not_run => {
             log::debug!(upstream = &*upstream.id; "{e}");
             return AttemptReport::new(AttemptResult::NotRun("rejected"), Completion::Refused)
@@ -238,7 +275,7 @@
                 .with_broken_connection();
         }
     };
-    let took_ms = elapsed_ms(started);
+    let took_ms = started.elapsed().as_secs_f64() * 1_000.0;
     if not_run {
         let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
         let completion = if misdirected { Completion::NotOwner } else { Completion::Refused };
@@ -255,35 +292,43 @@
         return AttemptReport::new(AttemptResult::ErrorResponse(res), Completion::Failed)
             .with_feedback(feedback);
     }
-    AttemptReport::new(AttemptResult::Response(res), Completion::Responded(took_ms))
-        .with_feedback(feedback)
+    let completion = Completion::Responded(took_ms);
+    let report = AttemptReport::new(AttemptResult::Response(res), completion);
+    AttemptReport { stream_end, ..report.with_feedback(feedback) }
 }
 
 /// Reads a response up to [`MAX_BUFFERED_RESPONSE_BYTES`] whole; a longer one that declares its length
-/// is passed on while it arrives, if it may be.
+/// is passed on while it arrives, if it may be, and must be complete at `stream_until`.
 pub(crate) async fn receive(
     peer: &str,
     mut parts: response::Parts,
     body: Incoming,
     conn: PooledConnection,
-    may_stream: bool,
-) -> Result<Response<Body>> {
+    stream_until: Option<Millis>,
+) -> Result<(Response<Body>, Option<oneshot::Receiver<StreamEnd>>)> {
     let will_close = parts.headers.get(header::CONNECTION).is_some_and(|v| v == "close");
     let length =
         parts.headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
     strip_headers(&mut parts.headers);
-    if length.is_some_and(|n: u64| n > MAX_BUFFERED_RESPONSE_BYTES) && may_stream {
-        let body = TrackedBody::new(body, conn, |_, _| {});
-        return Ok(Response::from_parts(parts, http_body_util::BodyExt::boxed_unsync(body)));
+    if let Some(deadline) = stream_until
+        && length.is_some_and(|n: u64| n > MAX_BUFFERED_RESPONSE_BYTES)
+    {
+        let (tx, rx) = oneshot::channel();
+        let peer: Arc<str> = peer.into();
+        let on_end = move |bytes: u64, end: StreamEnd| {
+            if end != StreamEnd::Complete {
+                log::info!(peer = &*peer, bytes, end:?; "streamed response ended early");
+            }
+            // Nobody waits for the end of a response from another instance.
+            let _ = tx.send(end);
+        };
+        let body = TrackedBody::new(body, conn, deadline, on_end).boxed_unsync();
+        return Ok((Response::from_parts(parts, body), Some(rx)));
     }
     let max = usize::try_from(MAX_BUFFERED_RESPONSE_BYTES).unwrap_or(usize::MAX);
     let bytes = http::read_body("read response", peer, body, max).await?;
     if !will_close {
         conn.return_to_pool();
     }
-    Ok(Response::from_parts(parts, http::full_body(bytes)))
-}
-
-fn elapsed_ms(since: Instant) -> f64 {
-    since.elapsed().as_secs_f64() * 1_000.0
+    Ok((Response::from_parts(parts, http::full_body(bytes)), None))
 }
--- a/src/peer_forward.rs
+++ b/src/peer_forward.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     body::RequestBody,
-    clock::{Millis, boot_millis},
-    forward,
+    clock::boot_millis,
+    forward::{self, Deadlines},
     http::{self, Body},
     node::Node,
     peer_choice::Candidate,
@@ -115,13 +115,13 @@
     pub head: &'a Parts,
     pub service: &'a Arc<str>,
     pub caller: IpAddr,
-    /// Time in milliseconds that is left for it.
-    pub time_left: Millis,
+    pub deadlines: Deadlines,
 }
 
 impl ForwardedRequest<'_> {
     fn build(&self, node: &Node, body: Body) -> Request<Body> {
-        let mut req = forward::build_request(node, self.head, self.time_left, body);
+        let time_left = self.deadlines.upstream_time(boot_millis());
+        let mut req = forward::build_request(node, self.head, time_left, body);
         let headers = req.headers_mut();
         let caller = HeaderValue::from_str(&self.caller.to_string());
         let service = HeaderValue::from_str(self.service);
@@ -173,7 +173,9 @@
     {
         return ForwardResult::NotServed(reason);
     }
-    match forward::receive(peer, parts, incoming, conn, true).await {
+    let stream_until = Some(req.deadlines.response);
+    let received = forward::receive(peer, parts, incoming, conn, stream_until).await;
+    match received.map(|(res, _)| res) {
         Ok(res) if reason.is_some() => ForwardResult::OwnResponse(res),
         Ok(res) => ForwardResult::Response(res),
         Err(e) => ForwardResult::Unknown(e.to_string()),
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     attempt::{self, AttemptResponse, Failure, Target},
-    body::{RequestBody, TrackedBody},
+    body::{RequestBody, StreamEnd, TrackedBody},
     clock::{Millis, boot_millis},
     http::{self, Body},
     idempotency::{self, Claim, ClaimedKey, IdempotencyRow, StoredResponse},
@@ -414,13 +414,13 @@
     head.headers.remove(wire::REFUSAL_REASON);
     let (instance, cx2) = (instance.clone(), cx.clone());
     let status = head.status;
-    let on_end = move |bytes: u64, complete: bool| {
+    let on_end = move |bytes: u64, end: StreamEnd| {
         drop(in_flight);
         drop(entry_grant);
-        let result = if complete { status.as_str() } else { "cut" };
+        let result = if end == StreamEnd::Complete { status.as_str() } else { "cut" };
         record_end(&instance, &cx2, outcome, result, bytes);
     };
-    let body = TrackedBody::new(body, conn, on_end).boxed_unsync();
+    let body = TrackedBody::new(body, conn, cx.deadline, on_end).boxed_unsync();
     let mut res = Response::from_parts(head, body);
     set_outcome_headers(&mut res, &cx.id, outcome);
     res
--- a/src/request_handler.rs
+++ b/src/request_handler.rs
@@ -13,7 +13,7 @@
     clock::{Millis, boot_millis},
     dispatch::{Completion, Decision, Destination, LoadReport, Rejection},
     ended_upstreams::{self, BrokenRequest},
-    forward::{self, AttemptResult},
+    forward::{self, AttemptResult, Deadlines},
     http::{self, Body},
     keymap::Key,
     node::Node,
@@ -28,7 +28,7 @@
     header::{HOST, HeaderValue, RETRY_AFTER},
     http::request::Parts,
 };
-use std::{net::IpAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{net::IpAddr, rc::Rc, sync::Arc};
 
 /// Request bodies whose declared length is at most this are buffered, so that they can be sent
 /// again.
@@ -67,10 +67,7 @@
     service: Arc<str>,
     key: Option<Key>,
     arrived_at: Millis,
-    /// When the upstream must have finished.
-    upstream_deadline: Millis,
-    /// When the caller gets a response at the latest.
-    response_deadline: Millis,
+    deadlines: Deadlines,
     /// Attempts that ended before the request's deadline, without those that got no connection.
     attempts: u32,
     /// Whether an attempt ended with a response that tells that the request ran, or without telling
@@ -201,16 +198,17 @@
         numeric_header(head, &node.adapter.header_names.time_left).unwrap_or(DEFAULT_TIMEOUT_MS);
     let deadline = arrived_at + caller_timeout_ms.saturating_sub(DEADLINE_MARGIN_MS);
     let timeout = rule.timeout_ms.map(|t| arrived_at + t);
-    let upstream_deadline = timeout.map_or(deadline, |t| t.min(deadline));
-    let response_deadline = timeout.map_or(deadline, |t| (t + TIMEOUT_GRACE_MS).min(deadline));
+    let deadlines = Deadlines {
+        upstream: timeout.map_or(deadline, |t| t.min(deadline)),
+        response: timeout.map_or(deadline, |t| (t + TIMEOUT_GRACE_MS).min(deadline)),
+    };
     Ok(RequestContext {
         id,
         rule,
         service,
         key: key.filter(|_| keyed),
         arrived_at,
-        upstream_deadline,
-        response_deadline,
+        deadlines,
         attempts: 0,
         may_have_run: false,
         tried: Vec::new(),
@@ -296,11 +294,10 @@
     // More upstreams may have ended under it while it waited.
     reject_if_it_ends_upstreams(node, cx, identity, body)?;
     let now = boot_millis();
-    let time_left = cx.upstream_deadline.saturating_sub(now).max(1);
-    let timeout = Duration::from_millis(cx.response_deadline.saturating_sub(now).max(1));
+    let timeout = cx.deadlines.response_time(now);
     // Requests without a key go to an upstream once.
     let is_repeated = cx.key.is_some() && cx.attempts > 0;
-    let attempt = forward::send(node, identity.head, body, &upstream, time_left, is_repeated);
+    let attempt = forward::send(node, identity.head, body, &upstream, cx.deadlines, is_repeated);
     cx.is_sent = true;
     let sent_at = now;
     let Ok(report) = tokio::time::timeout(timeout, attempt).await else {
@@ -312,7 +309,10 @@
     if report.feedback.leaving {
         record_leaving(node, cx, &upstream);
     }
-    in_flight.end(report.completion, report.feedback.load);
+    match report.stream_end {
+        Some(stream_end) => in_flight.end_with_stream(stream_end, report.completion),
+        None => in_flight.end(report.completion, report.feedback.load),
+    }
     if report.broke_off {
         let (id, fingerprints) = (cx.id.clone(), identity.fingerprints(body));
         let trial = cx.trial.take();
@@ -424,7 +424,7 @@
 /// limit here, but the dispatcher rejects it while its owner is ejected.
 fn may_retry(node: &Node, cx: &mut RequestContext, completion: Completion) -> bool {
     let now = boot_millis();
-    if now + MIN_TIME_FOR_RETRY_MS >= cx.upstream_deadline {
+    if now + MIN_TIME_FOR_RETRY_MS >= cx.deadlines.upstream {
         return false;
     }
     if completion == Completion::Unreachable {
--- a/src/request_handler/forwarding.rs
+++ b/src/request_handler/forwarding.rs
@@ -55,7 +55,7 @@
 /// Returns until when a request waits for the trial of another copy: half of its objective, so that
 /// its own response can be in time.
 fn wait_limit(cx: &RequestContext) -> Millis {
-    (cx.arrived_at + cx.rule.objective_ms / 2).min(cx.upstream_deadline)
+    (cx.arrived_at + cx.rule.objective_ms / 2).min(cx.deadlines.upstream)
 }
 
 /// Returns the reason of a rejection as it is logged and told to an instance that has forwarded the
@@ -126,7 +126,7 @@
     let mut all_lack_owner = true;
     while tried.len() < MAX_FORWARDS {
         let now = boot_millis();
-        if now + MIN_TIME_FOR_RETRY_MS >= cx.upstream_deadline {
+        if now + MIN_TIME_FOR_RETRY_MS >= cx.deadlines.upstream {
             break;
         }
         let Some((peer, address)) = next(cx, &tried) else {
@@ -136,9 +136,9 @@
             head: identity.head,
             service: &cx.service,
             caller: identity.caller,
-            time_left: cx.upstream_deadline - now,
+            deadlines: cx.deadlines,
         };
-        let timeout = Duration::from_millis(cx.response_deadline.saturating_sub(now).max(1));
+        let timeout = cx.deadlines.response_time(now);
         let in_flight = ForwardGuard::begin(node, &peer);
         cx.is_sent = true;
         let sending = peer_forward::send(node, &peer, address, &req, body);
--- a/src/request_handler/queueing.rs
+++ b/src/request_handler/queueing.rs
@@ -2,6 +2,7 @@
 
 use super::{Forwarding, RequestContext, UNCONFIGURED_RETRY_AFTER_MS};
 use crate::{
+    body::StreamEnd,
     clock::boot_millis,
     dispatch::{Completion, Decision, LoadReport, Rejection, RequestSpec, Ticket},
     node::{Node, ServiceState},
@@ -44,7 +45,7 @@
         priority: cx.rule.priority,
         arrived_at: cx.arrived_at,
         objective_at: cx.arrived_at + cx.rule.objective_ms,
-        deadline: cx.upstream_deadline,
+        deadline: cx.deadlines.upstream,
         destination: state.destination(cx.key),
         key: cx.key,
         large_response: cx.rule.large_responses,
@@ -93,6 +94,23 @@
         self.finish(completion, load);
     }
 
+    /// Ends the count once a streamed response has ended, as it holds a connection until then;
+    /// `completion` if it is complete.
+    pub fn end_with_stream(self, end: oneshot::Receiver<StreamEnd>, completion: Completion) {
+        tokio::task::spawn_local(async move {
+            let completion = match end.await {
+                Ok(StreamEnd::Complete) => completion,
+                Ok(StreamEnd::Interrupted | StreamEnd::TimedOut { upstream_late: true }) => {
+                    Completion::Failed
+                }
+                Ok(StreamEnd::Abandoned | StreamEnd::TimedOut { upstream_late: false })
+                | Err(_) => Completion::Inconclusive,
+            };
+            // What it has told about its load is out of date.
+            self.end(completion, None);
+        });
+    }
+
     fn finish(&mut self, completion: Completion, load: Option<LoadReport>) {
         let Some(upstream) = self.upstream.take() else {
             return;
