Tell dependents at once when the store is silent

Cause: a relay said that it followed the store until 2.7 s had passed since the last answer, the time limit of a waiting call, and its dependents learned of it with the reply to their next digest, up to 0.3 s later.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -30,7 +30,13 @@
 use hyper::upgrade::OnUpgrade;
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::TcpStream,
@@ -78,7 +84,7 @@
     Hello { name: Arc<str> },
     /// Revisions up to which the sender knows all entries.
     Digest(Digest),
-    /// Reply to a digest: whether the sender follows the store and the store answers it, and the
+    /// Reply to a digest, and sent when it changes: whether the sender follows the store and the store answers it, and the
     /// sender's own relay.
     #[serde(rename = "Following")]
     StoreStatus {
@@ -116,6 +122,8 @@
     store_followers: RefCell<HashMap<Arc<str>, Millis>>,
     /// Relay of an instance that does not follow the store itself; it gets the next digest.
     suggested_relay: RefCell<Option<Arc<str>>>,
+    /// Whether this instance has told its dependents that it follows the store.
+    told_healthy: Cell<bool>,
 }
 
 /// Returns the relay of this instance, if any: the first instance of the same data centre by name
@@ -146,6 +154,21 @@
     }
 }
 
+/// Tells the instances whose relay may be this one when it begins or ceases to follow the store, so
+/// that they need not wait for the reply to their next digest.
+pub(crate) fn publish_store_status(node: &Rc<Node>) {
+    let healthy = node.follows_store();
+    if node.gossip_links.told_healthy.replace(healthy) != healthy {
+        log::info!(healthy; "store status changed");
+        send_to_dependents(node, &store_status(node));
+    }
+}
+
+fn store_status(node: &Node) -> Message {
+    let (name, healthy) = (node.cfg.name.clone(), node.follows_store());
+    Message::StoreStatus { name, healthy, relay: relay(node) }
+}
+
 /// Sends a message over open links to the instances whose relay may be this one: those of the same
 /// data centre that come after it by name.
 fn send_to_dependents(node: &Rc<Node>, message: &Message) {
@@ -417,9 +440,7 @@
             let delta = (!entries.is_empty()).then_some(Message::Delta { digest, entries });
             // Requests what this instance lacks, even if those revisions may have changed no entry.
             let request = is_behind.then_some(Message::Digest(digest));
-            let (name, healthy) = (node.cfg.name.clone(), node.follows_store());
-            let relay = relay(node);
-            let status = Message::StoreStatus { name, healthy, relay };
+            let status = store_status(node);
             let notices = node.suspects.borrow_mut().next_notices(boot_millis());
             let suspects =
                 (!notices.is_empty()).then_some(Message::Suspects { notices, relayed: true });
--- a/src/node.rs
+++ b/src/node.rs
@@ -44,10 +44,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time after which a connection is closed whose bytes the upstream does not acknowledge.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time in milliseconds after which a table counts as not followed unless a call for its changes
-/// has returned: the 1.8 s for which the store keeps such a call open while nothing changes, and the
-/// time of one call.
-const FOLLOW_TIMEOUT_MS: Millis = 2_700;
 /// Maximum time in milliseconds for which requests wait for a move of their key: nine in ten
 /// requests that run at the old owner end within it.
 const MAX_PAUSE_MS: Millis = 700;
@@ -307,8 +303,8 @@
     pub(crate) trials: Trials,
     pub(crate) gossip_links: gossip::GossipLinks,
     pub(crate) coordinators: RefCell<HashMap<Arc<str>, coordinator_task::CoordinatorHandle>>,
-    /// When the store last answered a call for the changes of each table; 0 while this instance
-    /// does not follow the table.
+    /// Until when each table counts as followed unless the store answers another call for its changes;
+    /// 0 while this instance does not follow the table.
     followed_tables: RefCell<HashMap<&'static str, Millis>>,
     /// When the process started.
     started_at: Millis,
@@ -421,6 +417,7 @@
     fn poll(self: &Rc<Self>) {
         let now = boot_millis();
         ended_upstreams::publish(self);
+        gossip::publish_store_status(self);
         // Upstreams whose entries were deleted during an outage and were not restored in time.
         if self.shared_state.borrow_mut().expire_lapsed(now) {
             self.refresh_services();
@@ -504,9 +501,10 @@
         kinds.iter().map(|k| digest[*k as usize]).min().unwrap_or(0)
     }
 
-    /// Records when the store last answered a call for a table, or that the table is not followed.
-    pub fn record_table_followed(&self, table: &'static str, at: Option<Millis>) {
-        self.followed_tables.borrow_mut().insert(table, at.unwrap_or(0));
+    /// Records until when a table counts as followed unless the store answers another call for it, or
+    /// that it is not followed.
+    pub fn record_table_followed(&self, table: &'static str, until: Option<Millis>) {
+        self.followed_tables.borrow_mut().insert(table, until.unwrap_or(0));
     }
 
     /// Returns whether this instance can be a relay: it follows the store, the store answers it,
@@ -516,7 +514,7 @@
         let followed = self.followed_tables.borrow();
         !followed.is_empty()
             && self.stopping_since.get().is_none()
-            && followed.values().all(|at| now < at + FOLLOW_TIMEOUT_MS)
+            && followed.values().all(|until| now < *until)
     }
 
     /// Records that a call to the store failed that was sent at `sent_at`.
