Send messages past instances that are gone

Cause: a message for all instances went to the first one of each data centre by name. Names come from rows that nobody deletes, and a message that could not be sent was dropped.

Change: the receiver confirms a message by the pong to a WebSocket ping behind it. Without that after 0.6 s, or once its link breaks off, the message goes to the next ones by name, twice as many in each round, and later messages go past that instance (delivery). A receiver that is not the relay hands the message to the relay, which has links to the others. Digests and trials of suspected requests go past such instances too.

Why it works: arrival is observed, not assumed, and an instance that is wrongly doubted loses nothing, as another one passes the message on. Pongs are sent by the WebSocket library of all builds, so silence of an older build is no doubt.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -11,13 +11,27 @@
 //! the relay of the others, its dependents, to which it pushes changes at once. An instance without
 //! a relay follows the store itself, and each reads the store's tables once at its start.
 //!
+//! A message for all instances goes to one of each data centre, which passes it on to the others there;
+//! see [`crate::delivery`]. That instance confirms it with the pong to a WebSocket ping that follows the
+//! message, which instances of all versions send.
+//!
 //! `serde(rename)` keeps the names that instances of other versions send and expect.
 
+mod broadcast;
+mod link;
+
+pub(crate) use self::broadcast::{broadcast, resend_undelivered};
+
+use self::{
+    broadcast::pass_on,
+    link::{read_message, write_message, write_ping},
+};
 use crate::{
     clock::{Millis, boot_millis},
     collections::HashMap,
     coordinator_task,
-    error::{Cause, Error, Result},
+    delivery::Deliveries,
+    error::Result,
     keymap::KeyRange,
     node::Node,
     overload::OwnerShare,
@@ -25,10 +39,7 @@
     suspects::Notice,
     traffic::TrafficReport,
 };
-use ciborium::Value;
-use futures::{SinkExt, StreamExt};
 use hyper::upgrade::OnUpgrade;
-use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
 use std::{
     cell::{Cell, RefCell},
@@ -39,13 +50,9 @@
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite},
-    net::TcpStream,
     sync::mpsc,
 };
-use tokio_tungstenite::{
-    WebSocketStream,
-    tungstenite::{self, protocol::Role},
-};
+use tokio_tungstenite::WebSocketStream;
 
 /// Time between digests to an instance of the same data centre.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(300);
@@ -55,18 +62,12 @@
 /// Time in milliseconds for which an instance counts as a relay after it has said that it follows
 /// the store: three digests.
 const RELAY_TIMEOUT_MS: Millis = 1_000;
-/// Time for opening a link.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time for sending a message.
-const SEND_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time after which a link that carries nothing is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum number of messages that wait for a link. More are dropped: digests and traffic messages
 /// are repeated soon, and changes are in the replies to digests too. If [`Message::Moving`] is
 /// lost, the receiver only does not hold requests for these keys back.
 const MAX_QUEUED_MESSAGES: usize = 64;
-/// Maximum size of a message; a configuration with thousands of routes fits.
-const MAX_MESSAGE_BYTES: usize = 16 << 20;
 
 /// Keys of a service that are about to be released by their owner.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -84,8 +85,8 @@
     Hello { name: Arc<str> },
     /// Revisions up to which the sender knows all entries.
     Digest(Digest),
-    /// Reply to a digest, and sent when it changes: whether the sender follows the store and the store answers it, and the
-    /// sender's own relay.
+    /// Reply to a digest, and sent when it changes: whether the sender follows the store and the store
+    /// answers it, and the sender's own relay.
     #[serde(rename = "Following")]
     StoreStatus {
         name: Arc<str>,
@@ -114,10 +115,29 @@
     CoordinatorStatus { service: Arc<str>, acting: bool },
 }
 
+impl Message {
+    /// Returns the message as it is passed on to instances that do not pass it on.
+    fn into_relayed(mut self) -> Self {
+        if let Self::Shares { relayed, .. } | Self::Suspects { relayed, .. } = &mut self {
+            *relayed = true;
+        }
+        self
+    }
+}
+
+/// A message that waits for a link, and the number by which the receiver is to confirm it.
+#[derive(Debug)]
+struct Outgoing {
+    message: Message,
+    copy: Option<u64>,
+}
+
 /// Open links by the name of the instance at the other end.
 #[derive(Debug, Default)]
 pub(crate) struct GossipLinks {
-    open: RefCell<HashMap<Arc<str>, mpsc::Sender<Message>>>,
+    open: RefCell<HashMap<Arc<str>, mpsc::Sender<Outgoing>>>,
+    /// Messages for all instances that were not confirmed yet.
+    deliveries: RefCell<Deliveries<Message>>,
     /// When each instance last said that it follows the store.
     store_followers: RefCell<HashMap<Arc<str>, Millis>>,
     /// Relay of an instance that does not follow the store itself; it gets the next digest.
@@ -129,11 +149,17 @@
 /// Returns the relay of this instance, if any: the first instance of the same data centre by name
 /// that recently said that it follows the store, unless this one comes first.
 pub(crate) fn relay(node: &Node) -> Option<Arc<str>> {
+    store_follower(node).filter(|name| **name < *node.cfg.name)
+}
+
+/// Returns the first other instance of the same data centre by name that recently said that it follows
+/// the store.
+fn store_follower(node: &Node) -> Option<Arc<str>> {
     let now = boot_millis();
     let store_followers = node.gossip_links.store_followers.borrow();
     let is_recent = |at: &Millis| now < at + RELAY_TIMEOUT_MS;
     let names = store_followers.iter().filter(|(_, at)| is_recent(at)).map(|(name, _)| name);
-    names.filter(|name| **name < node.cfg.name).min().cloned()
+    names.min().cloned()
 }
 
 /// Returns whether an instance of the same data centre comes before this one by name, and so may
@@ -178,7 +204,7 @@
     let dependents =
         shared_state.instances().filter(|(n, p)| same_data_center(p) && **n > node.cfg.name);
     for (name, tx) in dependents.filter_map(|(n, _)| open.get_key_value(n)) {
-        if tx.try_send(message.clone()).is_err() {
+        if tx.try_send(Outgoing { message: message.clone(), copy: None }).is_err() {
             log::debug!(
                 peer = &**name;
                 "link is busy, message dropped; changes follow after the next digest"
@@ -187,25 +213,6 @@
     }
 }
 
-/// Sends a message at once to the first instance of each data centre, which passes it on to the
-/// others there.
-pub(crate) fn broadcast(node: &Rc<Node>, message: &Message) {
-    let first_names = {
-        let shared_state = node.shared_state.borrow();
-        let mut first_names: HashMap<Arc<str>, Arc<str>> = HashMap::default();
-        for (name, peer) in shared_state.instances().filter(|(n, _)| **n != node.cfg.name) {
-            let first = first_names.entry(peer.data_center.clone()).or_insert_with(|| name.clone());
-            if name < first {
-                *first = name.clone();
-            }
-        }
-        first_names
-    };
-    for name in first_names.values() {
-        send(node, name, message.clone());
-    }
-}
-
 /// Sends digests until the process ends.
 pub(crate) async fn run_rounds(node: Rc<Node>) {
     let mut tick = tokio::time::interval(DIGEST_INTERVAL);
@@ -249,8 +256,10 @@
         names.truncate(before);
     }
     if want_same_data_center && round.is_multiple_of(2) {
-        // The first is the relay, unless it cannot reach the store.
-        return names.first().cloned();
+        // The first is the relay, unless it cannot reach the store or is gone.
+        let deliveries = node.gossip_links.deliveries.borrow();
+        let first = names.iter().find(|n| !deliveries.is_doubtful(n));
+        return first.or(names.first()).cloned();
     }
     let n = usize::try_from(round / 2).unwrap_or(0).checked_rem(names.len())?;
     // In other data centres, instances start at different positions, so that they do not all send
@@ -269,153 +278,94 @@
     };
     let name: Arc<str> = others[n].to_string().into();
     let digest = node.shared_state.borrow().digest();
-    send_to(node, &name, others[n], Message::Digest(digest));
+    send_to(node, &name, others[n], Outgoing { message: Message::Digest(digest), copy: None });
 }
 
 /// Sends a message to an instance, over an open link or a new one.
 pub(crate) fn send(node: &Rc<Node>, name: &Arc<str>, message: Message) {
     let address = node.shared_state.borrow().instance(name).map(|p| p.address);
     if let Some(address) = address {
-        send_to(node, name, address, message);
+        send_to(node, name, address, Outgoing { message, copy: None });
     }
 }
 
-fn send_to(node: &Rc<Node>, name: &Arc<str>, address: SocketAddr, message: Message) {
+fn send_to(node: &Rc<Node>, name: &Arc<str>, address: SocketAddr, outgoing: Outgoing) {
     let mut open = node.gossip_links.open.borrow_mut();
     let tx = open.entry(name.clone()).or_insert_with(|| {
         let (tx, rx) = mpsc::channel(MAX_QUEUED_MESSAGES);
         let (node, name) = (node.clone(), name.clone());
         let own_tx = tx.clone();
         tokio::task::spawn_local(async move {
-            if let Err(e) = connect_and_exchange(&node, address, rx).await {
-                log::debug!(peer = &*name; "{e}");
+            match link::connect(&node, address).await {
+                Ok(link) => {
+                    if let Err(e) = exchange_messages(&node, &name, link, address, rx).await {
+                        log::debug!(peer = &*name; "{e}");
+                        let mut deliveries = node.gossip_links.deliveries.borrow_mut();
+                        deliveries.on_broken_link(boot_millis(), &name);
+                    }
+                }
+                Err(e) => {
+                    log::debug!(peer = &*name; "{e}");
+                    let mut deliveries = node.gossip_links.deliveries.borrow_mut();
+                    deliveries.on_unreachable(boot_millis(), &name);
+                }
             }
             forget_link(&node, &name, &own_tx);
         });
         tx
     });
-    if tx.try_send(message).is_err() {
+    if tx.try_send(outgoing).is_err() {
         log::debug!(peer = &**name; "link is busy, message dropped");
     }
 }
 
 /// Removes a closed link unless it has been replaced.
-fn forget_link(node: &Node, name: &Arc<str>, tx: &mpsc::Sender<Message>) {
+fn forget_link(node: &Node, name: &Arc<str>, tx: &mpsc::Sender<Outgoing>) {
     let mut open = node.gossip_links.open.borrow_mut();
     if open.get(name).is_some_and(|t| t.same_channel(tx)) {
         open.remove(name);
     }
 }
 
-fn interrupted(step: &'static str, peer: SocketAddr, e: &impl std::fmt::Display) -> Error {
-    Error::new(step, peer.to_string(), Cause::Interrupted(e.to_string()))
-}
-
-async fn connect_and_exchange(
-    node: &Rc<Node>,
-    address: SocketAddr,
-    rx: mpsc::Receiver<Message>,
-) -> Result<()> {
-    let opening = async {
-        let stream =
-            TcpStream::connect(address).await.map_err(|e| interrupted("connect", address, &e))?;
-        let url = format!("ws://{address}/");
-        let opened = tokio_tungstenite::client_async(url, stream).await;
-        opened.map_err(|e| interrupted("open link", address, &e))
-    };
-    let timed_out = |e| interrupted("open link", address, &e);
-    let (mut link, _) =
-        tokio::time::timeout(CONNECT_TIMEOUT, opening).await.map_err(timed_out)??;
-    write_message(&mut link, address, &Message::Hello { name: node.cfg.name.clone() }).await?;
-    exchange_messages(node, link, address, rx).await
-}
-
 /// Serves a link that another instance opens with an HTTP request.
 pub(crate) async fn serve(node: Rc<Node>, upgrade: OnUpgrade, address: SocketAddr) {
-    let Ok(Ok(stream)) = tokio::time::timeout(CONNECT_TIMEOUT, upgrade).await else {
-        log::debug!(peer = address.to_string(); "WebSocket handshake failed or timed out");
-        return;
-    };
-    let mut link = WebSocketStream::from_raw_socket(TokioIo::new(stream), Role::Server, None).await;
-    let hello =
-        tokio::time::timeout(CONNECT_TIMEOUT, read_message(&mut link, address, &mut false)).await;
-    let Ok(Ok(Some(Message::Hello { name }))) = hello else {
-        log::debug!(peer = address.to_string(); "no hello message on a new link");
+    let Some((link, name)) = link::accept(upgrade, address).await else {
         return;
     };
     let (tx, rx) = mpsc::channel(MAX_QUEUED_MESSAGES);
     node.gossip_links.open.borrow_mut().insert(name.clone(), tx.clone());
-    if let Err(e) = exchange_messages(&node, link, address, rx).await {
+    if let Err(e) = exchange_messages(&node, &name, link, address, rx).await {
         log::debug!(peer = &*name; "{e}");
     }
     forget_link(&node, &name, &tx);
 }
 
-async fn write_message(
-    link: &mut WebSocketStream<impl AsyncRead + AsyncWrite + Unpin>,
-    peer: SocketAddr,
-    message: &Message,
-) -> Result<()> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(message, &mut bytes)
-        .map_err(|e| interrupted("encode message", peer, &e))?;
-    let sent = link.send(tungstenite::Message::binary(bytes));
-    let sent = tokio::time::timeout(SEND_TIMEOUT, sent).await;
-    sent.map_err(|e| interrupted("send message", peer, &e))?
-        .map_err(|e| interrupted("send message", peer, &e))
-}
-
-/// Reads the next message of a known kind; `None` at the end of the link. Instances of later versions
-/// send other kinds, which are skipped.
-async fn read_message(
-    link: &mut WebSocketStream<impl AsyncRead + AsyncWrite + Unpin>,
-    peer: SocketAddr,
-    skipped: &mut bool,
-) -> Result<Option<Message>> {
-    while let Some(frame) = link.next().await {
-        let frame = frame.map_err(|e| interrupted("read message", peer, &e))?;
-        let tungstenite::Message::Binary(bytes) = frame else {
-            continue;
-        };
-        if bytes.len() > MAX_MESSAGE_BYTES {
-            return Err(Error::invalid("read message", "message is too long"));
-        }
-        let message = ciborium::from_reader(&bytes[..]);
-        let is_known = message.is_ok() || ciborium::from_reader::<Value, _>(&bytes[..]).is_err();
-        if is_known {
-            return message.map(Some).map_err(|e| interrupted("decode message", peer, &e));
-        }
-        if !std::mem::replace(skipped, true) {
-            let kind = kind_name(&bytes);
-            log::info!(peer = peer.to_string(), kind; "message of an unknown kind skipped");
-        }
-    }
-    Ok(None)
-}
-
-/// Returns the name of a message's kind.
-fn kind_name(bytes: &[u8]) -> Option<String> {
-    match ciborium::from_reader(bytes).ok()? {
-        Value::Map(entries) => entries.into_iter().next()?.0.into_text().ok(),
-        kind => kind.into_text().ok(),
-    }
-}
-
 async fn exchange_messages(
     node: &Rc<Node>,
+    name: &Arc<str>,
     mut link: WebSocketStream<impl AsyncRead + AsyncWrite + Unpin>,
     peer: SocketAddr,
-    mut rx: mpsc::Receiver<Message>,
+    mut rx: mpsc::Receiver<Outgoing>,
 ) -> Result<()> {
     let mut skipped = false;
+    let on_confirmed = |id: u64| node.gossip_links.deliveries.borrow_mut().on_confirmed(name, id);
     loop {
         let replies = tokio::select! {
-            message = read_message(&mut link, peer, &mut skipped) => match message? {
-                Some(message) => handle_message(node, message),
+            message = read_message(&mut link, peer, &mut skipped, on_confirmed) => match message? {
+                Some(message) => {
+                    node.gossip_links.deliveries.borrow_mut().on_heard(name);
+                    handle_message(node, name, message)
+                }
                 None => return Ok(()),
             },
-            message = rx.recv() => match message {
-                Some(message) => vec![message],
+            outgoing = rx.recv() => match outgoing {
+                Some(Outgoing { message, copy }) => {
+                    write_message(&mut link, peer, &message).await?;
+                    if let Some(id) = copy {
+                        write_ping(&mut link, peer, id).await?;
+                    }
+                    continue;
+                }
                 None => return Ok(()),
             },
             () = tokio::time::sleep(IDLE_TIMEOUT) => return Ok(()),
@@ -427,8 +377,8 @@
     }
 }
 
-/// Handles a message and returns the replies.
-fn handle_message(node: &Rc<Node>, message: Message) -> Vec<Message> {
+/// Handles a message of the instance `from` and returns the replies.
+fn handle_message(node: &Rc<Node>, from: &Arc<str>, message: Message) -> Vec<Message> {
     match message {
         Message::Hello { .. } => Vec::new(),
         Message::Digest(theirs) => {
@@ -468,26 +418,34 @@
             Vec::new()
         }
         Message::Push { entries } => {
-            node.update_shared_state(|shared_state, now| shared_state.merge(now, entries));
+            let mut changed = false;
+            node.update_shared_state(|shared_state, now| {
+                changed = shared_state.merge(now, entries.iter().cloned());
+                changed
+            });
+            // The dependents have got the changes.
+            if changed && let Some(relay) = relay(node).filter(|r| r != from) {
+                send(node, &relay, Message::Push { entries });
+            }
             Vec::new()
         }
         Message::Moving(moving) => {
             if node.pause_keys(&moving) {
-                send_to_dependents(node, &Message::Moving(moving));
+                pass_on(node, from, Message::Moving(moving), true);
             }
             Vec::new()
         }
         Message::Shares { service, shares, relayed } => {
             node.set_shares(&service, shares.clone());
             if !relayed {
-                send_to_dependents(node, &Message::Shares { service, shares, relayed: true });
+                pass_on(node, from, Message::Shares { service, shares, relayed }, false);
             }
             Vec::new()
         }
         Message::Suspects { notices, relayed } => {
             let changed = node.suspects.borrow_mut().merge(boot_millis(), &notices);
             if changed && !relayed {
-                send_to_dependents(node, &Message::Suspects { notices, relayed: true });
+                pass_on(node, from, Message::Suspects { notices, relayed }, true);
             }
             Vec::new()
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -101,6 +101,7 @@
 pub mod coordinator;
 pub mod coordinator_task;
 pub mod daemon;
+pub mod delivery;
 pub mod dev;
 pub mod dispatch;
 mod ended_upstreams;
--- a/src/node.rs
+++ b/src/node.rs
@@ -418,6 +418,7 @@
         let now = boot_millis();
         ended_upstreams::publish(self);
         gossip::publish_store_status(self);
+        gossip::resend_undelivered(self);
         // Upstreams whose entries were deleted during an outage and were not restored in time.
         if self.shared_state.borrow_mut().expire_lapsed(now) {
             self.refresh_services();
--- a/src/peer_forward.rs
+++ b/src/peer_forward.rs
@@ -101,8 +101,9 @@
 ) -> Option<(Arc<str>, SocketAddr)> {
     let before = order.iter().take_while(|name| **name != node.cfg.name);
     let (now, paths) = (boot_millis(), node.peer_paths.borrow());
-    let mut askable = before.take(MAX_ORDERED).filter(|name| paths.may_ask(now, service, name));
-    let name = askable.find(|name| !tried.contains(name))?;
+    // Instances that are gone stay in the order.
+    let askable = before.filter(|name| tried.contains(name) || paths.may_ask(now, service, name));
+    let name = askable.take(MAX_ORDERED).find(|name| !tried.contains(name))?;
     Some((name.clone(), node.shared_state.borrow().instance(name)?.address))
 }
 
