Send nothing that cannot end before the process

Cause: a request whose head had come in time was sent to an upstream however late that was: after a slow body, a wait, or a failed attempt.

With timeouts as short as those of the deployments in force, the deadline comes first.

Change: before each attempt, a stopping instance checks that the deadline lies before its last responses or, within 3 s of the signal, that the objective does; else it rejects the request with 503.

Why it works: the check comes after all waits, right before the only step that can make the 503 untrue.

--- a/src/listeners.rs
+++ b/src/listeners.rs
@@ -74,12 +74,24 @@
     }
 }
 
+/// Returns when an instance exits that got the signal to stop at `stopping_since`.
+fn exit_at(node: &Node, stopping_since: Millis) -> Millis {
+    stopping_since + node.cfg.grace_ms.saturating_sub(EXIT_MARGIN_MS)
+}
+
+/// Returns when requests that are still open are answered, for an instance that got the signal to stop
+/// at `stopping_since`.
+pub(crate) fn last_response_at(node: &Node, stopping_since: Millis) -> Millis {
+    exit_at(node, stopping_since).saturating_sub(LAST_RESPONSE_MARGIN_MS)
+}
+
 /// Waits until the notice to the balancer is over and callers' connections have ended, but no
 /// longer than until shortly before the process is killed. Requests that are open until then are
 /// answered before.
 pub(crate) async fn drain(node: &Rc<Node>) {
     let stopping_since = node.stopping_since.get().unwrap_or_else(boot_millis);
-    let exit_at = stopping_since + node.cfg.grace_ms.saturating_sub(EXIT_MARGIN_MS);
+    let exit_at = exit_at(node, stopping_since);
+    let last_response_at = last_response_at(node, stopping_since);
     let notice_until = stopping_since + caller_connection::READINESS_NOTICE_MS;
     loop {
         let now = boot_millis();
@@ -87,7 +99,7 @@
         if now >= exit_at || now > notice_until && idle {
             break;
         }
-        if now + LAST_RESPONSE_MARGIN_MS >= exit_at {
+        if now >= last_response_at {
             node.last_responses.cancel();
         }
         tokio::time::sleep(RETRY_INTERVAL).await;
--- a/src/request_handler.rs
+++ b/src/request_handler.rs
@@ -3,10 +3,12 @@
 
 mod forwarding;
 mod queueing;
+mod stopping;
 
 use self::{
     forwarding::{forward_to_others, rejection_reason, try_alone},
     queueing::{InFlightGuard, admit},
+    stopping::reject_if_stopping,
 };
 use crate::{
     body::RequestBody,
@@ -247,6 +249,7 @@
     }
     loop {
         cx.trial = None;
+        reject_if_stopping(node, cx)?;
         reject_if_it_ends_upstreams(node, cx, &identity, &body)?;
         if let Some(suspected) = identity.suspected(node, &body) {
             match try_alone(node, cx, &identity, &mut body, suspected).await? {
@@ -291,7 +294,8 @@
         in_flight.end(Completion::Inconclusive, None);
         return Ok(None);
     };
-    // More upstreams may have ended under it while it waited.
+    // The signal to stop may have come while it waited, or more upstreams have ended under it.
+    reject_if_stopping(node, cx)?;
     reject_if_it_ends_upstreams(node, cx, identity, body)?;
     let now = boot_millis();
     let timeout = cx.deadlines.response_time(now);
@@ -377,6 +381,7 @@
     }
     Ok(None)
 }
+
 /// Rejects a request that has ended too many upstreams.
 fn reject_if_it_ends_upstreams(
     node: &Node,
