Limit the memory of all responses together

What callers saw (report of another operator): an upstream sent bytes without end, the instance kept them and ran out of memory, and the requests of other callers ended with it.

Cause: each response had a limit, but 8 MiB for orders, of which up to 15 go to one upstream at once, and nothing limited all responses to requests together.

Heads and single bodies were bounded.

All responses that are read whole share 32 MiB beyond the first 64 KiB of each, until their callers have them; while that is used up, their upstreams wait, within their deadlines.

Why it works: what is kept is counted where it is kept, by its capacity.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -261,7 +261,7 @@
     let status = parts.status;
     let may_stream = status.is_success() && signed;
     let stream_until = may_stream.then_some(deadlines.response);
-    let received = receive(&upstream.id, parts, incoming, conn, stream_until).await;
+    let received = receive(node, &upstream.id, parts, incoming, conn, stream_until).await;
     let (res, stream_end) = match received {
         Ok(received) => received,
         Err(e) if not_run => {
@@ -300,6 +300,7 @@
 /// Reads a response up to [`MAX_BUFFERED_RESPONSE_BYTES`] whole; a longer one that declares its length
 /// is passed on while it arrives, if it may be, and must be complete at `stream_until`.
 pub(crate) async fn receive(
+    node: &Node,
     peer: &str,
     mut parts: response::Parts,
     body: Incoming,
@@ -326,7 +327,7 @@
         return Ok((Response::from_parts(parts, body), Some(rx)));
     }
     let max = usize::try_from(MAX_BUFFERED_RESPONSE_BYTES).unwrap_or(usize::MAX);
-    let bytes = http::read_body("read response", peer, body, max).await?;
+    let bytes = node.buffer_limit.read_body("read response", peer, body, max).await?;
     if !will_close {
         conn.return_to_pool();
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -88,6 +88,7 @@
 mod attempt;
 pub mod audit_log;
 mod body;
+mod buffer_limit;
 pub mod burn;
 mod caller_connection;
 mod caller_stream;
--- a/src/node.rs
+++ b/src/node.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     adapter::{Change, ChangeOutcome, PlatformAdapter, RowName},
+    buffer_limit::BufferLimit,
     clock::{Millis, boot_millis, wall_millis},
     collections::HashMap,
     coordinator_task,
@@ -64,6 +65,9 @@
 /// window of one that runs six requests at once.
 const CONNECTIONS_PER_UPSTREAM: usize = 24;
 
+/// Memory in bytes for the responses that an instance has read and not passed on yet.
+const MAX_BUFFERED_BYTES: usize = 32 << 20;
+
 /// Factor on the allowed ratio of retries, which leaves a margin: instances count requests at
 /// different times, and one that restarts begins with its whole reserve.
 const RETRY_RATIO_FACTOR: f64 = 0.8;
@@ -306,6 +310,8 @@
     /// Until when each table counts as followed unless the store answers another call for its changes;
     /// 0 while this instance does not follow the table.
     followed_tables: RefCell<HashMap<&'static str, Millis>>,
+    /// Limits the responses that are read whole before they are passed on.
+    pub(crate) buffer_limit: BufferLimit,
     /// When the process started.
     started_at: Millis,
     pub(crate) ready: Cell<bool>,
@@ -329,6 +335,7 @@
             idle_timeout: Duration::from_millis(cfg.upstream_idle_ms),
             tcp_user_timeout: Some(TCP_USER_TIMEOUT),
             zero_linger: true,
+            ..Options::default()
         };
         Rc::new(Self {
             process: rand::random(),
@@ -345,6 +352,7 @@
             gossip_links: gossip::GossipLinks::default(),
             coordinators: RefCell::default(),
             followed_tables: RefCell::default(),
+            buffer_limit: BufferLimit::new(MAX_BUFFERED_BYTES),
             started_at: boot_millis(),
             ready: Cell::new(false),
             stopping_since: Cell::new(None),
--- a/src/peer_forward.rs
+++ b/src/peer_forward.rs
@@ -70,6 +70,7 @@
         idle_timeout: IDLE_TIMEOUT,
         tcp_user_timeout: Some(TCP_USER_TIMEOUT),
         zero_linger: true,
+        max_response_bytes: MAX_CHECK_BYTES,
     };
     Pool::with_options(CONNECTIONS_PER_PEER, options)
 }
@@ -175,7 +176,7 @@
         return ForwardResult::NotServed(reason);
     }
     let stream_until = Some(req.deadlines.response);
-    let received = forward::receive(peer, parts, incoming, conn, stream_until).await;
+    let received = forward::receive(node, peer, parts, incoming, conn, stream_until).await;
     match received.map(|(res, _)| res) {
         Ok(res) if reason.is_some() => ForwardResult::OwnResponse(res),
         Ok(res) => ForwardResult::Response(res),
@@ -206,9 +207,7 @@
     let req = req.body(http::full_body("")).ok()?;
     let step = "check an upstream";
     match pool::call(&node.peer_pool, step, address, req, CHECK_TIMEOUT).await {
-        Ok((StatusCode::OK, _, body)) if body.len() <= MAX_CHECK_BYTES => {
-            Some(&body[..] == b"reached")
-        }
+        Ok((StatusCode::OK, _, body)) => Some(&body[..] == b"reached"),
         Ok((status, ..)) => {
             log::debug!(peer = address.to_string(); "{step}: status {status}");
             None
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -27,8 +27,8 @@
 /// Number of times that [`call`] sends a request again of which nothing was written: several idle
 /// connections may have been closed together.
 const MAX_RESENDS: u32 = 3;
-/// Longest response body that [`call`] reads, in bytes.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Default of the longest response body that [`call`] reads, in bytes.
+const DEFAULT_MAX_RESPONSE_BYTES: usize = 8 << 20;
 
 /// Connections to many servers, with a limit for each server.
 #[derive(Debug)]
@@ -50,6 +50,8 @@
     pub tcp_user_timeout: Option<Duration>,
     /// Whether unsent bytes are discarded when a connection is closed (`SO_LINGER` of zero).
     pub zero_linger: bool,
+    /// Longest response body that [`call`] reads, in bytes.
+    pub max_response_bytes: usize,
 }
 
 impl Default for Options {
@@ -59,6 +61,7 @@
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             tcp_user_timeout: None,
             zero_linger: false,
+            max_response_bytes: DEFAULT_MAX_RESPONSE_BYTES,
         }
     }
 }
@@ -281,7 +284,8 @@
                 Err(f) => return Err(f.error),
             };
             let (head, body) = res.into_parts();
-            let bytes = crate::http::read_body(step, &peer, body, MAX_RESPONSE_BYTES).await?;
+            let bytes =
+                crate::http::read_body(step, &peer, body, pool.options.max_response_bytes).await?;
             conn.return_to_pool();
             return Ok((head.status, head.headers, bytes));
         }
