Accept more connections while a process is busy

What callers saw: of 300 callers that connected at once to an instance that did not run for a moment, some got their responses a second late, beyond their deadlines.

Cause: listeners had the library's default backlog of 128 connections. The kernel drops further ones, and their callers try again after a second.

Change: http::bind listens with a backlog of 1,024 connections, for callers, other instances, the balancer, operators and metrics of both daemons. No message, row or order changes.

Why it works: the kernel completes these connections by itself, and the process finds them when it runs again, before any attempt has to be repeated.

--- a/src/http.rs
+++ b/src/http.rs
@@ -16,7 +16,7 @@
 };
 use std::{convert::Infallible, future::Future, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore},
 };
 use tokio_util::sync::CancellationToken;
@@ -31,6 +31,10 @@
     HeaderName::from_static("keep-alive"),
 ];
 
+/// Connections that the kernel accepts for a process that does not run, or is busy with others. Any
+/// further one is dropped, and its caller tries again a second later.
+const LISTEN_BACKLOG: u32 = 1_024;
+
 /// Error type of streamed bodies.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -174,10 +178,17 @@
 /// # Errors
 ///
 /// Fails if the address cannot be bound, and names it.
+#[expect(clippy::unused_async, reason = "sockets can only be registered within a runtime")]
 pub async fn bind(step: &'static str, addr: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(addr)
-        .await
-        .map_err(|e| Error::new(step, addr.to_string(), Cause::Unreachable(e.to_string())))
+    let listen = || {
+        let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(addr)?;
+        socket.listen(LISTEN_BACKLOG)
+    };
+    listen().map_err(|e: std::io::Error| {
+        Error::new(step, addr.to_string(), Cause::Unreachable(e.to_string()))
+    })
 }
 
 /// Removes headers that concern one connection only, including those that `Connection` names.
