Choose addresses for tests without listening on them

What was seen: beside load, endless_responses_to_orders_use_up_the_memory failed once, as its instance wrote nothing to its log.

Cause: free addresses were found by listening on them for a moment. A process that another test started in that moment held a copy of the listening socket until it ran its program, so that the instance could not listen on its address.

That the one failed start had this cause is likely, not shown: what the process wrote to its standard error was not kept.

Why it works: a bound socket that does not listen, and permits reuse, keeps nobody from listening on the address, also while a copy of it is open.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -21,6 +21,7 @@
     process::{Child, Command, Stdio},
     time::{Duration, Instant},
 };
+use tokio::net::TcpSocket;
 
 pub const SECRET: &str = "test-secret";
 /// Time limit for a process or a controller to start.
@@ -173,10 +174,16 @@
     (process, addr)
 }
 
-/// Returns loopback addresses that nobody listens on.
+/// Returns loopback addresses that nobody listens on. The sockets do not listen themselves: a process
+/// that is started meanwhile holds copies of them until it runs its program.
 fn free_addresses() -> [SocketAddr; 3] {
-    let bind = || std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    [bind(), bind(), bind()].map(|l| l.local_addr().expect("an address"))
+    let bind = || {
+        let socket = TcpSocket::new_v4().expect("socket");
+        socket.set_reuseaddr(true).expect("socket option");
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port");
+        socket
+    };
+    [bind(), bind(), bind()].map(|s| s.local_addr().expect("an address"))
 }
 
 impl Cluster {
