Evacuate data centres by the operator's rows

Change: `Evacuations` (new module `evacuation`) holds the data centres under evacuation by revision, from the change feed and from the new `Message::Evacuations`, which earlier versions skip. The shared state lists upstreams there as leaving; their entries stay as they are. Owners serve their keys until these move, for at most 2 s after the change became known anywhere; the coordinator begins the moves in batches (`evacuation::next_batch`). The plan splits lost ranges only as long as the map keeps room. A dependent of a relay of an earlier version follows the operators' table itself. `keymap::subtract` skips ranges that do not overlap, as it allocated a list for each of them.

--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -13,6 +13,7 @@
     collections::HashMap,
     coordinator::{Coordinator, GrantOrder, GrantTimes, OrderId, OrderOutcome, ReleaseOrder},
     error::Result,
+    evacuation,
     gossip::{self, Message, MovingKeys},
     keymap::{KeyMap, KeyRange, Owner},
     lease::{self, Lease},
@@ -598,9 +599,16 @@
             let recently_moved: Vec<KeyRange> =
                 self.recently_moved.iter().map(|(range, _)| *range).collect();
             let (planned, moving) = (coordinator.planned_owners(), coordinator.moving_ranges());
-            for reassignment in
-                rebalance::plan(&planned, &moving, &recently_moved, &upstreams, &self.traffic)
-            {
+            let plan =
+                rebalance::plan(&planned, &moving, &recently_moved, &upstreams, &self.traffic);
+            let evacuated_since = evacuated_since(&self.node, &self.service);
+            let in_progress = moving.iter().filter(|range| {
+                let span = coordinator.owners().find(range.from);
+                span.is_some_and(|s| evacuated_since.contains_key(&s.owner.id))
+            });
+            let in_progress = in_progress.count();
+            let since = |owner: &Owner| evacuated_since.get(&owner.id).copied();
+            for reassignment in evacuation::next_batch(now, plan, &planned, in_progress, since) {
                 let (range, new_owner) = (reassignment.range, &reassignment.to);
                 log::info!(
                     service = &*self.service, from = range.from, to = range.to,
@@ -776,6 +784,19 @@
     }
 }
 
+/// Returns since when the upstreams of a service that still serve their keys are evacuated.
+fn evacuated_since(node: &Node, service: &str) -> HashMap<Arc<str>, Millis> {
+    let (services, shared_state) = (node.services.borrow(), node.shared_state.borrow());
+    let Some(state) = services.get(service) else {
+        return HashMap::default();
+    };
+    let since = |id: &Arc<str>| {
+        let data_center = &state.upstreams.get(id)?.data_center;
+        Some((id.clone(), shared_state.evacuations().since(data_center)?))
+    };
+    state.evacuated_owners.iter().filter_map(since).collect()
+}
+
 fn grant_times(node: &Node) -> GrantTimes {
     GrantTimes {
         hold: GRANT_HOLD_MS.min(node.cfg.max_hold_ms),
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -18,9 +18,13 @@
 //! `serde(rename)` keeps the names that instances of other versions send and expect.
 
 mod broadcast;
+mod evacuations;
 mod link;
 
-pub(crate) use self::broadcast::{broadcast, resend_undelivered};
+pub(crate) use self::{
+    broadcast::{broadcast, resend_undelivered},
+    evacuations::{broadcast_evacuations, change_evacuations, tells_of_evacuations},
+};
 
 use self::{
     broadcast::pass_on,
@@ -32,6 +36,7 @@
     coordinator_task,
     delivery::Deliveries,
     error::Result,
+    evacuation::EvacuationChange,
     keymap::KeyRange,
     node::Node,
     overload::OwnerShare,
@@ -104,6 +109,9 @@
     /// Shares of the requests that a service's overloaded owners can serve; `relayed` tells that
     /// the receiver does not pass them on.
     Shares { service: Arc<str>, shares: Vec<OwnerShare>, relayed: bool },
+    /// All known evacuations of data centres, complete up to a revision of the store; the receiver tells
+    /// what it knows if `wants_reply`.
+    Evacuations { complete_up_to: u64, changes: Vec<EvacuationChange>, wants_reply: bool },
     /// Requests under which upstreams have ended; `relayed` tells that the receiver does not pass them
     /// on.
     Suspects { notices: Vec<Notice>, relayed: bool },
@@ -142,6 +150,8 @@
     store_followers: RefCell<HashMap<Arc<str>, Millis>>,
     /// Relay of an instance that does not follow the store itself; it gets the next digest.
     suggested_relay: RefCell<Option<Arc<str>>>,
+    /// Instances that tell of evacuations, and until when they count as doing so if their link ended.
+    evacuation_senders: RefCell<HashMap<Arc<str>, Millis>>,
     /// Whether this instance has told its dependents that it follows the store.
     told_healthy: Cell<bool>,
 }
@@ -221,24 +231,32 @@
         tick.tick().await;
         let digest = node.shared_state.borrow().digest();
         match relay(&node).or_else(|| node.gossip_links.suggested_relay.take()) {
-            Some(name) => send(&node, &name, Message::Digest(digest)),
+            Some(name) => send_digest(&node, &name, digest),
             // The relay is the first by name, so those before this instance get a digest in turn.
             None => match choose_partner(&node, round, true) {
-                Some(name) => send(&node, &name, Message::Digest(digest)),
+                Some(name) => send_digest(&node, &name, digest),
                 None if node.routing_config().is_none() => send_digest_to_seed(&node, round),
                 None => {}
             },
         }
-        // What changes while a relay is there reaches the others of its data centre through it.
+        // What changes while a relay is there reaches the others of its data centre through it, but for
+        // evacuations if it is of an earlier version.
         if round % ROUNDS_PER_REMOTE_DIGEST == 0
-            && relay(&node).is_none()
+            && (relay(&node).is_none() || !node.learns_of_evacuations())
             && let Some(name) = choose_partner(&node, round / ROUNDS_PER_REMOTE_DIGEST, false)
         {
-            send(&node, &name, Message::Digest(digest));
+            send_digest(&node, &name, digest);
         }
     }
 }
 
+fn send_digest(node: &Rc<Node>, name: &Arc<str>, digest: Digest) {
+    send(node, name, Message::Digest(digest));
+    if let Some(question) = evacuations::question(node, name) {
+        send(node, name, question);
+    }
+}
+
 /// Returns the instance that gets the digest of a round: in this data centre if
 /// `want_same_data_center`, one that comes before this instance by name if there is any, else in
 /// another data centre.
@@ -279,6 +297,9 @@
     let name: Arc<str> = others[n].to_string().into();
     let digest = node.shared_state.borrow().digest();
     send_to(node, &name, others[n], Outgoing { message: Message::Digest(digest), copy: None });
+    if let Some(message) = evacuations::question(node, &name) {
+        send_to(node, &name, others[n], Outgoing { message, copy: None });
+    }
 }
 
 /// Sends a message to an instance, over an open link or a new one.
@@ -324,6 +345,7 @@
     let mut open = node.gossip_links.open.borrow_mut();
     if open.get(name).is_some_and(|t| t.same_channel(tx)) {
         open.remove(name);
+        evacuations::on_link_replaced(node, name);
     }
 }
 
@@ -334,6 +356,7 @@
     };
     let (tx, rx) = mpsc::channel(MAX_QUEUED_MESSAGES);
     node.gossip_links.open.borrow_mut().insert(name.clone(), tx.clone());
+    evacuations::on_link_replaced(&node, &name);
     if let Err(e) = exchange_messages(&node, &name, link, address, rx).await {
         log::debug!(peer = &*name; "{e}");
     }
@@ -394,7 +417,13 @@
             let notices = node.suspects.borrow_mut().next_notices(boot_millis());
             let suspects =
                 (!notices.is_empty()).then_some(Message::Suspects { notices, relayed: true });
-            delta.into_iter().chain(request).chain([status]).chain(suspects).collect()
+            let lacks_rows = theirs[EntryKind::RoutingConfig as usize]
+                < digest[EntryKind::RoutingConfig as usize];
+            drop(shared_state);
+            // Before the entries: an instance that gets its first configuration with them is ready.
+            let evacuations = evacuations::news(node, lacks_rows);
+            let replies = evacuations.into_iter().chain(delta).chain(request);
+            replies.chain([status]).chain(suspects).collect()
         }
         Message::StoreStatus { name, healthy, relay } => {
             let same_data_center = |p: &PeerInfo| p.data_center == node.cfg.data_center;
@@ -442,6 +471,11 @@
             }
             Vec::new()
         }
+        Message::Evacuations { complete_up_to, changes, wants_reply } => {
+            evacuations::on_message(node, from, complete_up_to, changes, wants_reply)
+                .into_iter()
+                .collect()
+        }
         Message::Suspects { notices, relayed } => {
             let changed = node.suspects.borrow_mut().merge(boot_millis(), &notices);
             if changed && !relayed {
--- a/src/keymap.rs
+++ b/src/keymap.rs
@@ -178,6 +178,7 @@
 pub fn subtract(range: KeyRange, others: impl IntoIterator<Item = KeyRange>) -> Vec<KeyRange> {
     others
         .into_iter()
+        .filter(|other| other.overlaps(&range))
         .fold(vec![range], |parts, other| parts.iter().flat_map(|p| p.without(&other)).collect())
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 //! - [`routing_config`] is the configuration ([`registry`]).
 //! - [`shared_state`] is an instance's copy of the state that all instances share, with the
 //!   configuration.
+//! - [`evacuation`] are the data centres whose upstreams get no requests.
 //! - `gossip` passes changes of the shared state on between instances (`peer`).
 //! - [`listeners`] accept connections of callers and readiness checks.
 //! - `caller_connection` serves a connection over `caller_stream`, which reads ahead, and
@@ -107,6 +108,7 @@
 pub mod dispatch;
 mod ended_upstreams;
 pub mod error;
+pub mod evacuation;
 mod exporter;
 pub mod fingerprint;
 mod forward;
--- a/src/node.rs
+++ b/src/node.rs
@@ -5,11 +5,12 @@
     adapter::{Change, ChangeOutcome, PlatformAdapter, RowName},
     buffer_limit::BufferLimit,
     clock::{Millis, boot_millis, wall_millis},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     coordinator_task,
     dispatch::{Decision, Destination, Dispatcher, Ticket, UpstreamSpec},
     ended_upstreams,
     error::Result,
+    evacuation::Evacuations,
     exporter,
     gossip::{self, MovingKeys},
     keymap::{Key, KeyMap, KeyRange, Owner},
@@ -126,6 +127,10 @@
     pub traffic: TrafficCounter,
     pub budget: RetryBudget,
     pub upstreams: HashMap<Arc<str>, Arc<UpstreamInfo>>,
+    /// Upstreams that are leaving for an evacuation and still serve their keys until these move.
+    pub evacuated_owners: HashSet<Arc<str>>,
+    /// Whether all upstreams are leaving, at least some for an evacuation, so that no key can move.
+    all_evacuated: bool,
     /// Whether the upstreams own keys.
     pub keyed: bool,
     /// Whether this instance is cut off from the upstreams, as logged last.
@@ -158,7 +163,8 @@
         };
         if !self.is_usable(&span.owner) {
             let since = self.unusable_owners.get(&span.owner);
-            let lost = since.is_some_and(|t| boot_millis() >= t + OWNER_PATIENCE_MS);
+            let lost =
+                since.is_some_and(|t| boot_millis() >= t + OWNER_PATIENCE_MS) || self.all_evacuated;
             return if lost { Destination::OwnerLost } else { Destination::NoOwner };
         }
         if self.paused.iter().any(|(range, ..)| range.contains(key)) {
@@ -169,7 +175,12 @@
 
     fn is_usable(&self, owner: &Owner) -> bool {
         let upstream = self.upstreams.get(&owner.id);
-        upstream.is_some_and(|u| u.is_incarnation(&owner.id, owner.started) && !u.leaving)
+        upstream.is_some_and(|u| u.is_incarnation(&owner.id, owner.started) && !self.is_leaving(u))
+    }
+
+    /// Returns whether an upstream is sent no more requests.
+    fn is_leaving(&self, upstream: &UpstreamInfo) -> bool {
+        upstream.leaving && !(self.keyed && self.evacuated_owners.contains(&upstream.id))
     }
 
     /// Notes since when owners of keys cannot be used.
@@ -427,6 +438,7 @@
         ended_upstreams::publish(self);
         gossip::publish_store_status(self);
         gossip::resend_undelivered(self);
+        self.update_shared_state(|shared_state, now| shared_state.evacuations_mut().expire(now));
         // Upstreams whose entries were deleted during an outage and were not restored in time.
         if self.shared_state.borrow_mut().expire_lapsed(now) {
             self.refresh_services();
@@ -491,6 +503,29 @@
         }
     }
 
+    /// Takes over what this instance has read about evacuations; if `change` returns `true`, updates
+    /// the services and tells the other instances.
+    pub fn update_evacuations(
+        self: &Rc<Self>,
+        change: impl FnOnce(&mut Evacuations, Millis) -> bool,
+    ) {
+        if gossip::change_evacuations(self, change) {
+            gossip::broadcast_evacuations(self);
+        }
+    }
+
+    /// Returns the revision of the store up to which all changes of evacuations are known.
+    #[must_use]
+    pub fn evacuations_known_up_to(&self) -> u64 {
+        self.shared_state.borrow().evacuations().complete_up_to()
+    }
+
+    /// Returns whether the relay, if there is one, tells of evacuations; earlier versions do not.
+    #[must_use]
+    pub fn learns_of_evacuations(&self) -> bool {
+        gossip::relay(self).is_none_or(|name| gossip::tells_of_evacuations(self, &name))
+    }
+
     /// Records that an incarnation of an upstream has said in a response that it leaves.
     pub(crate) fn on_upstream_leaving(self: &Rc<Self>, id: &Arc<str>, started: u64) {
         self.update_shared_state(|shared_state, _| shared_state.mark_leaving(id, started));
@@ -594,6 +629,7 @@
         let budget = self.retry_budget();
         let position = self.position(now);
         let shared_state = self.shared_state.borrow();
+        let evacuated_owners = shared_state.evacuated_owners(now);
         let mut services = self.services.borrow_mut();
         for spec in routing_config.services.values() {
             let state = services.entry(spec.name.clone()).or_insert_with(|| ServiceState {
@@ -601,6 +637,8 @@
                 traffic: TrafficCounter::default(),
                 budget: budget.clone(),
                 upstreams: HashMap::default(),
+                evacuated_owners: HashSet::default(),
+                all_evacuated: false,
                 keyed: spec.keyed,
                 cut_off: false,
                 owners: None,
@@ -614,10 +652,13 @@
             let upstreams = shared_state
                 .upstreams(now)
                 .filter(|u| u.service == spec.name)
-                .map(|u| (u.id.clone(), u.clone()))
+                .map(|u| (u.id.clone(), u))
                 .collect();
             log_changed_upstreams(&state.upstreams, &upstreams);
             state.upstreams = upstreams;
+            state.evacuated_owners.clone_from(&evacuated_owners);
+            state.all_evacuated = shared_state.evacuations().is_any_in_force()
+                && state.upstreams.values().all(|u| u.leaving);
             let owners = shared_state.owners(&spec.name);
             if owners.map(|(_, r)| r) != state.owners.as_ref().map(|(_, r)| *r) {
                 state.owners = owners.map(|(map, r)| (map.clone(), r));
@@ -629,9 +670,10 @@
                 started: u.started,
                 concurrency: u.concurrency,
                 same_data_center: same_data_center(u),
-                leaving: u.leaving,
+                leaving: state.is_leaving(u),
                 max_connections: connection_share(spec.max_connections, instances),
             });
+            let specs: Vec<UpstreamSpec> = specs.collect();
             state.dispatcher.set_position(position);
             state.dispatcher.set_upstreams(now, specs);
             state.remove_ended_pauses(now);
--- a/src/rebalance.rs
+++ b/src/rebalance.rs
@@ -106,8 +106,12 @@
     if planned.spans.is_empty() {
         return assign_initially(&candidates);
     }
+    // A third of all ranges may have lost their owner at once, and each may be split.
+    let mut spare_spans = (MAX_SPANS - RESERVED_SPANS).saturating_sub(planned.spans.len());
     for range in gaps.into_iter().chain(orphaned_ranges) {
-        assign_range(range, &mut candidates, traffic, &mut changes);
+        let before = changes.len();
+        assign_range(range, spare_spans + 1, &mut candidates, traffic, &mut changes);
+        spare_spans = spare_spans.saturating_sub((changes.len() - before).saturating_sub(1));
     }
     if planned.spans.len() >= MAX_SPANS - RESERVED_SPANS {
         return changes;
@@ -202,14 +206,16 @@
     parts.clamp(1, max_parts.min(range.len()))
 }
 
-/// Assigns a range to the upstreams that will have the lowest utilization.
+/// Assigns a range, in up to `max_parts` parts, to the upstreams that will have the lowest utilization.
 fn assign_range(
     range: KeyRange,
+    max_parts: usize,
     candidates: &mut [Candidate],
     traffic: &TrafficStats,
     changes: &mut Vec<Reassignment>,
 ) {
-    let parts = part_count(range, candidates, traffic);
+    let max_parts = u32::try_from(max_parts).unwrap_or(u32::MAX);
+    let parts = part_count(range, candidates, traffic).min(max_parts);
     let step = range.len() / parts;
     let mut from = u32::from(range.from);
     for n in 0..parts {
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -14,11 +14,14 @@
 //! [`crate::revision`]. What is missing in the copy counts as lapsed, upstreams that are known to
 //! have left stay so, and the configuration and the owners of keys stay until later ones come.
 //!
+//! Upstreams of a data centre under evacuation are listed as leaving; their entries stay as they are.
+//!
 //! `serde(rename)` keeps the names that instances of other versions send and expect.
 
 use crate::{
     clock::Millis,
-    collections::HashMap,
+    collections::{HashMap, HashSet},
+    evacuation::Evacuations,
     keymap::KeyMap,
     revision,
     routing_config::{RoutingConfig, UpstreamInfo},
@@ -129,6 +132,8 @@
     store_away_at: Option<Millis>,
     /// The configuration in force.
     routing_config: Option<Arc<RoutingConfig>>,
+    /// The data centres under evacuation.
+    evacuations: Evacuations,
 }
 
 fn digest_index(kind: EntryKind) -> usize {
@@ -352,18 +357,52 @@
         self.routing_config.as_ref()
     }
 
+    /// Returns the data centres under evacuation.
+    #[must_use]
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns the data centres under evacuation, to be changed.
+    pub fn evacuations_mut(&mut self) -> &mut Evacuations {
+        &mut self.evacuations
+    }
+
+    /// Returns the upstreams that are listed as leaving only for an evacuation, and that still serve
+    /// the keys that they own, see [`Evacuations::is_owner_grace`].
+    #[must_use]
+    pub fn evacuated_owners(&self, now: Millis) -> HashSet<Arc<str>> {
+        if !self.evacuations.is_any_in_force() {
+            return HashSet::default();
+        }
+        let serves = |u: &&Arc<UpstreamInfo>| {
+            !u.leaving && self.evacuations.is_owner_grace(now, &u.data_center)
+        };
+        self.listed_upstreams(now).filter(serves).map(|u| u.id.clone()).collect()
+    }
+
     /// Returns the upstreams that have an entry, including those that are leaving, and those whose
-    /// entry has lapsed and that are still kept at `now`.
+    /// entry has lapsed and that are still kept at `now`. Those of a data centre under evacuation are
+    /// returned as leaving.
     ///
     /// Where several name one address, only the one that started last is there: an entry of an
     /// upstream that has ended may be stored late.
-    pub fn upstreams(&self, now: Millis) -> impl Iterator<Item = &Arc<UpstreamInfo>> {
+    pub fn upstreams(&self, now: Millis) -> impl Iterator<Item = Arc<UpstreamInfo>> {
         let mut latest_start: HashMap<SocketAddr, u64> = HashMap::default();
         for u in self.listed_upstreams(now) {
             let latest = latest_start.entry(u.address).or_default();
             *latest = u.started.max(*latest);
         }
-        self.listed_upstreams(now).filter(move |u| u.started >= latest_start[&u.address])
+        let latest = move |u: &&Arc<UpstreamInfo>| u.started >= latest_start[&u.address];
+        self.listed_upstreams(now).filter(latest).map(|u| self.with_evacuation(u))
+    }
+
+    /// Returns an upstream as leaving if its data centre is evacuated.
+    fn with_evacuation(&self, u: &Arc<UpstreamInfo>) -> Arc<UpstreamInfo> {
+        if u.leaving || !self.evacuations.is_evacuated(&u.data_center) {
+            return u.clone();
+        }
+        Arc::new(UpstreamInfo { leaving: true, ..(**u).clone() })
     }
 
     fn listed_upstreams(&self, now: Millis) -> impl Iterator<Item = &Arc<UpstreamInfo>> {
