Keep the permitted rate of cold upstreams

Cause: an upstream that warms up crashes well above its permitted rate, and no instance read its remaining time. Requests reached it at the ordinary rate.

Change: services have `warmup` and `warmup-per-s`, the settings `warmup_overshoot` and `warmup_slack`; without all four nothing changes. `warmup` decides which upstreams are cold, by incarnation and by when their entry changed. Each instance sends by tokens in turn, as for limits that upstreams name, or, where its requests for an owner are rare, by a share that the coordinator announces. The coordinator plans with the permitted rate.

--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -588,6 +588,7 @@
         {
             self.planned_at = now;
             self.traffic.decay(now);
+            self.traffic.set_cold_rates(self.node.cold_rates(&self.service, now));
             if coordinator.mergeable_count()
                 >= MIN_MERGEABLE.max(coordinator.owners().spans.len() / 5)
                 && coordinator.moving_ranges().is_empty()
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -16,6 +16,7 @@
     rate_limit::{InstancePosition, LimitNotice},
     reachability::Reachability,
     upstream_state::{BASE_EJECTION_MS, Upstream},
+    warmup::{ColdPace, ColdUpstreams},
 };
 use std::sync::Arc;
 
@@ -157,6 +158,8 @@
     reachability: Reachability,
     /// Decides this instance's part of the limits that upstreams name.
     position: InstancePosition,
+    /// Whether there was any request.
+    had_requests: bool,
     next_ticket: Ticket,
 }
 
@@ -201,6 +204,28 @@
     /// [`crate::overload`].
     pub fn set_shares(&mut self, now: Millis, shares: Vec<OwnerShare>) {
         self.shares.set(now, shares);
+        for (id, upstream) in &mut self.upstreams {
+            upstream.cold = upstream.cold.filter(|c| c.is_cold(now));
+            if let Some(cold) = &mut upstream.cold {
+                cold.set_share(now, self.shares.announced(now, id));
+            }
+        }
+    }
+
+    /// Takes over which upstreams are cold; see [`crate::warmup`].
+    pub fn set_cold(&mut self, now: Millis, cold: &ColdUpstreams) {
+        for (id, upstream) in &mut self.upstreams {
+            let (Some(limits), Some(until)) = (cold.limits(), cold.cold_until(now, id)) else {
+                upstream.cold = None;
+                continue;
+            };
+            let pace = upstream.cold.get_or_insert_with(|| {
+                let mut pace = ColdPace::new(now, limits, until, &self.position);
+                pace.set_share(now, self.shares.announced(now, id));
+                pace
+            });
+            pace.update(now, limits, until, &self.position);
+        }
     }
 
     /// Takes over what a response says about the limit of upstream `id`; returns whether that
@@ -217,6 +242,12 @@
         }
     }
 
+    /// Returns whether there was any request.
+    #[must_use]
+    pub fn had_requests(&self) -> bool {
+        self.had_requests
+    }
+
     /// Returns the numbers of requests in flight and waiting.
     #[must_use]
     pub fn request_counts(&self) -> (u32, usize) {
@@ -230,6 +261,7 @@
     ///
     /// Returns a ticket if the request has to wait until [`Dispatcher::poll`] returns it.
     pub fn submit(&mut self, now: Millis, req: RequestSpec) -> Result<Decision, Ticket> {
+        self.had_requests = true;
         if req.forwardable && self.lacks_path(now, &req) {
             return Ok(Decision::Forward);
         }
@@ -238,9 +270,15 @@
         }
         if let Destination::Owner(id, _) = &req.destination
             && !req.admitted
-            && !self.shares.admits(now, id)
         {
-            return Ok(self.reject(now, &req, Rejection::Overload));
+            // The announced share of an owner that was cold until now does not count any more.
+            let cold = self.upstreams.get(id).and_then(|u| u.cold.as_ref());
+            if cold.is_some_and(|c| !c.admits_new(now, rand::random_range(0.0..1.0))) {
+                return Ok(self.reject(now, &req, Rejection::UpstreamLimit));
+            }
+            if cold.is_none() && !self.shares.admits(now, id) {
+                return Ok(self.reject(now, &req, Rejection::Overload));
+            }
         }
         let ahead = self.requests_ahead(now, &req);
         if ahead == 0
@@ -566,7 +604,7 @@
                     .upstreams
                     .values()
                     .filter(|u| !u.spec.leaving && !u.is_ejected(now) && now >= u.rests_until);
-                let throughput: f64 = available.map(Upstream::throughput).sum();
+                let throughput: f64 = available.map(|u| u.throughput(now)).sum();
                 if throughput > 0.0 { position / throughput } else { UNAVAILABLE_RETRY_AFTER_MS }
             }
             Destination::NoOwner | Destination::OwnerLost => UNAVAILABLE_RETRY_AFTER_MS,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,7 +68,7 @@
 //! - [`coordinator_task`] runs a coordinator (`cell_driver`).
 //! - [`rebalance`] plans the owners of keys ([`placement`]) by the [`traffic`].
 //! - [`overload`] limits the requests for owners that are asked for more than they can serve.
-//! - [`rate_limit`] keeps the limits that upstreams name.
+//! - [`rate_limit`] keeps the limits that upstreams name, [`warmup`] those of upstreams that warm up.
 //! - [`revision`] orders the store's changes, also after it was restored from a copy.
 //!
 //! # Both
@@ -163,6 +163,7 @@
 mod trial;
 mod upstream_state;
 mod upstreams;
+pub mod warmup;
 pub mod wire;
 
 pub use error::{Error, Result};
--- a/src/node.rs
+++ b/src/node.rs
@@ -27,6 +27,7 @@
     suspects::Suspects,
     traffic::{TrafficCounter, TrafficReport},
     trial::Trials,
+    warmup::{ColdLimits, ColdUpstreams, Listing},
 };
 use std::{
     cell::{Cell, RefCell},
@@ -115,6 +116,11 @@
     pub retry_reserve: f64,
     /// Time in milliseconds from the signal to stop until the process is killed.
     pub grace_ms: Millis,
+    /// Factor on the requests per second that a cold upstream tolerates, for the most requests in any
+    /// one second; cold upstreams get no limit without it or `warmup_slack`.
+    pub warmup_overshoot: Option<f64>,
+    /// Requests to a cold upstream in any one second beyond that.
+    pub warmup_slack: Option<f64>,
     /// Time in milliseconds for which an idle connection to an upstream is kept.
     pub upstream_idle_ms: Millis,
 }
@@ -126,6 +132,8 @@
     pub traffic: TrafficCounter,
     pub budget: RetryBudget,
     pub upstreams: HashMap<Arc<str>, Arc<UpstreamInfo>>,
+    /// Those that are cold.
+    pub cold: ColdUpstreams,
     /// Whether the upstreams own keys.
     pub keyed: bool,
     /// Whether this instance is cut off from the upstreams, as logged last.
@@ -432,7 +440,8 @@
             self.refresh_services();
             return;
         }
-        for state in self.services.borrow_mut().values_mut() {
+        for (service, state) in self.services.borrow_mut().iter_mut() {
+            state.cold.log_changes(now, service);
             if !state.paused.is_empty() && state.remove_ended_pauses(now) {
                 state.refresh_destinations();
             }
@@ -465,6 +474,22 @@
         !new_ranges.is_empty()
     }
 
+    /// Marks the upstreams of a data centre that returns to service as possibly cold.
+    pub fn note_possibly_cold(&self, data_center: &str) {
+        let now = boot_millis();
+        for (service, state) in self.services.borrow_mut().iter_mut() {
+            state.cold.note_possibly_cold(now, data_center);
+            state.dispatcher.set_cold(now, &state.cold);
+            state.cold.log_changes(now, service);
+        }
+    }
+
+    /// Returns the cold upstreams of a service, with the requests per second that they tolerate.
+    pub(crate) fn cold_rates(&self, service: &str, now: Millis) -> HashMap<Arc<str>, f64> {
+        let services = self.services.borrow();
+        services.get(service).map(|s| s.cold.rates(now)).unwrap_or_default()
+    }
+
     /// Takes over the shares of the requests that a service's overloaded owners can serve.
     pub(crate) fn set_shares(&self, service: &str, shares: Vec<OwnerShare>) {
         if let Some(state) = self.services.borrow_mut().get_mut(service) {
@@ -601,6 +626,7 @@
                 traffic: TrafficCounter::default(),
                 budget: budget.clone(),
                 upstreams: HashMap::default(),
+                cold: ColdUpstreams::default(),
                 keyed: spec.keyed,
                 cut_off: false,
                 owners: None,
@@ -634,6 +660,16 @@
             });
             state.dispatcher.set_position(position);
             state.dispatcher.set_upstreams(now, specs);
+            let (overshoot, slack) = (self.cfg.warmup_overshoot, self.cfg.warmup_slack);
+            let listing = Listing {
+                complete: shared_state.digest()[EntryKind::Upstream as usize] > 0,
+                system_starts: self.cfg.first_start && !state.dispatcher.had_requests(),
+            };
+            let listed =
+                state.upstreams.values().map(|u| (u, shared_state.upstream_revision(&u.id)));
+            state.cold.update(now, ColdLimits::new(spec, overshoot, slack), listing, listed);
+            state.dispatcher.set_cold(now, &state.cold);
+            state.cold.log_changes(now, &spec.name);
             state.remove_ended_pauses(now);
             state.refresh_destinations();
             state.poll(now);
--- a/src/overload.rs
+++ b/src/overload.rs
@@ -6,11 +6,13 @@
 //! overloaded owner can serve; they send that share and reject the rest at once. This needs no
 //! figure that depends on the number of instances.
 //!
+//! Owners that are cold get a share whatever their load, see [`crate::warmup`].
+//!
 //! [`OverloadMonitor`] is the coordinator's side, [`AdmittedShares`] the other instances'.
 
 use crate::{
     clock::Millis, collections::HashMap, keymap::KeyMap, rebalance, routing_config::UpstreamInfo,
-    traffic::TrafficStats,
+    traffic::TrafficStats, warmup,
 };
 use std::sync::Arc;
 
@@ -40,8 +42,13 @@
 const ANNOUNCE_INTERVAL_MS: Millis = 700;
 /// Relative change of a share from which it is announced at once.
 const MIN_SHARE_CHANGE: f64 = 0.1;
+/// Requests per second for one owner from which there is traffic.
+const MIN_TRAFFIC: f64 = 0.5;
+/// Time in milliseconds for which traffic must have been reported for shares of cold owners: each
+/// instance has reported twice. Rates that are still growing would give too large shares.
+const KNOWN_AFTER_MS: Millis = 1_000;
 /// Time in milliseconds for which announced shares are in force: two announcements may be lost.
-const SHARES_VALIDITY_MS: Millis = 2_200;
+pub(crate) const SHARES_VALIDITY_MS: Millis = 2_200;
 
 /// The share of the requests for an overloaded owner that instances send to it.
 pub type OwnerShare = (Arc<str>, f64);
@@ -52,6 +59,8 @@
     overloaded: HashMap<Arc<str>, OverloadedOwner>,
     announced: HashMap<Arc<str>, f64>,
     announced_at: Millis,
+    /// Since when traffic has been reported without a break.
+    traffic_since: Option<Millis>,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -73,6 +82,10 @@
     rate: f64,
     capacity: f64,
     concurrency: u32,
+    /// The larger of the rates over a short and a longer time.
+    peak_rate: f64,
+    /// Requests per second that it tolerates, if it is cold.
+    cold_rate: Option<f64>,
 }
 
 impl OverloadMonitor {
@@ -96,9 +109,19 @@
         traffic: &TrafficStats,
     ) -> Option<Vec<OwnerShare>> {
         let loads = owner_loads(owners, upstreams, traffic);
+        let has_traffic = loads.iter().any(|l| l.rate >= MIN_TRAFFIC);
+        let traffic_since = self.traffic_since.filter(|_| has_traffic);
+        self.traffic_since = traffic_since.or(has_traffic.then_some(now));
+        let is_rate_known = self.traffic_since.is_some_and(|at| now >= at + KNOWN_AFTER_MS);
         let mut shares: HashMap<Arc<str>, f64> = HashMap::default();
         let mut overloaded = HashMap::default();
         for load in loads {
+            if let Some(cold_rate) = load.cold_rate {
+                if is_rate_known {
+                    shares.insert(load.id, warmup::admitted_share(cold_rate, load.peak_rate));
+                }
+                continue;
+            }
             let known = self.overloaded.remove(&load.id);
             let factor = if known.is_some() { OVERLOAD_END } else { OVERLOAD_START };
             let mut owner = known.unwrap_or(OverloadedOwner {
@@ -161,12 +184,20 @@
 ) -> Vec<OwnerLoad> {
     let mean_time = rebalance::mean_response_time(traffic);
     let mut rates: HashMap<&str, f64> = HashMap::default();
+    let mut long_rates: HashMap<&str, f64> = HashMap::default();
     for span in &owners.spans {
-        *rates.entry(&*span.owner.id).or_default() += traffic.recent_rate(&span.range);
+        let id = &*span.owner.id;
+        *rates.entry(id).or_default() += traffic.recent_rate(&span.range);
+        if traffic.cold_rate(id).is_some() {
+            *long_rates.entry(id).or_default() += traffic.rate(&span.range);
+        }
     }
+    let rate = |rates: &HashMap<&str, f64>, id: &str| rates.get(id).copied().unwrap_or(0.0);
     let load = |u: &Arc<UpstreamInfo>| OwnerLoad {
         id: u.id.clone(),
-        rate: rates.get(&*u.id).copied().unwrap_or(0.0),
+        rate: rate(&rates, &u.id),
+        peak_rate: rate(&rates, &u.id).max(rate(&long_rates, &u.id)),
+        cold_rate: traffic.cold_rate(&u.id),
         capacity: rebalance::capacity(u, traffic, mean_time),
         concurrency: u.concurrency,
     };
@@ -218,12 +249,15 @@
         true
     }
 
+    /// Returns the share that is in force for this owner, if one was announced.
+    #[must_use]
+    pub fn announced(&self, now: Millis, owner: &str) -> Option<f64> {
+        self.shares.get(owner).filter(|_| now < self.valid_until).map(|s| s.share)
+    }
+
     /// Returns the share of the requests for keys of this owner that are sent.
     #[must_use]
     pub fn share(&self, now: Millis, owner: &str) -> f64 {
-        if now >= self.valid_until {
-            return 1.0;
-        }
-        self.shares.get(owner).map_or(1.0, |s| s.share)
+        self.announced(now, owner).unwrap_or(1.0)
     }
 }
--- a/src/rate_limit.rs
+++ b/src/rate_limit.rs
@@ -81,6 +81,9 @@
 pub struct RateLimit {
     /// Requests per second from all instances.
     per_second: f64,
+    /// Requests that all instances together may send at once; `None` for the default of limits that
+    /// upstreams name.
+    burst: Option<f64>,
     /// This instance's share of them.
     share: f64,
     /// Requests that may be sent at `updated_at`, with the part of the next one.
@@ -93,13 +96,19 @@
     #[must_use]
     pub fn new(now: Millis, per_second: f64, position: &InstancePosition) -> Self {
         let share = position.share();
-        let limit = Self { per_second, share, credit: 0.0, updated_at: now };
+        let limit = Self { per_second, burst: None, share, credit: 0.0, updated_at: now };
         #[expect(clippy::cast_precision_loss, reason = "exact up to 2^53 ms")]
         let tokens = (now + position.clock_offset_ms) as f64 * limit.rate();
         let credit = (tokens - f64::from(position.rank) * share).rem_euclid(1.0);
         Self { credit, ..limit }
     }
 
+    /// Sets the requests that all instances together may send at once.
+    #[must_use]
+    pub fn with_burst(self, requests: f64) -> Self {
+        Self { burst: Some(requests), ..self }
+    }
+
     /// Returns the requests per second that the upstream takes from all instances.
     #[must_use]
     pub fn per_second(&self) -> f64 {
@@ -122,7 +131,8 @@
     /// Returns the requests that may be sent at `now`, with the part of the next one, which grows
     /// whether or not the bucket is full: tokens come at the same times.
     fn credit_at(&self, now: Millis) -> f64 {
-        let burst = (self.per_second * BURST_SECONDS + BURST_REQUESTS) * self.share;
+        let default_burst = self.per_second * BURST_SECONDS + BURST_REQUESTS;
+        let burst = self.burst.unwrap_or(default_burst) * self.share;
         #[expect(clippy::cast_precision_loss, reason = "short spans")]
         let elapsed_ms = now.saturating_sub(self.updated_at) as f64;
         let credit = self.credit + elapsed_ms * self.rate();
--- a/src/rebalance.rs
+++ b/src/rebalance.rs
@@ -73,11 +73,12 @@
 }
 
 /// Returns the requests per second that an upstream can serve, where `mean_time` is
-/// [`mean_response_time`], or that it takes if it has named a limit.
+/// [`mean_response_time`], or that it takes if it has named a limit or is cold.
 pub(crate) fn capacity(u: &UpstreamInfo, traffic: &TrafficStats, mean_time: f64) -> f64 {
     let time = traffic.response_time(&u.id, mean_time).max(1.0);
     let by_time = f64::from(u.concurrency.max(1)) * 1_000.0 / time;
-    traffic.rate_limit(&u.id).map_or(by_time, |limit| by_time.min(limit).max(MIN_CAPACITY))
+    let limits = traffic.rate_limit(&u.id).into_iter().chain(traffic.cold_rate(&u.id));
+    limits.reduce(f64::min).map_or(by_time, |limit| by_time.min(limit).max(MIN_CAPACITY))
 }
 
 fn owner_of(u: &UpstreamInfo) -> Owner {
--- a/src/routing_config.rs
+++ b/src/routing_config.rs
@@ -77,6 +77,14 @@
     pub max_connections: usize,
     /// Whether upstreams own keys and serve only those.
     pub keyed: bool,
+    /// Time in milliseconds for which an upstream warms up after its start, if limited. Other
+    /// versions may not send it.
+    #[serde(default)]
+    pub warmup_ms: Option<Millis>,
+    /// Requests per second that an upstream tolerates from all instances together while it warms up,
+    /// if limited. Other versions may not send it.
+    #[serde(default)]
+    pub warmup_per_second: Option<f64>,
 }
 
 /// One incarnation of an upstream, as it registered.
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -375,6 +375,13 @@
         with_entry.chain(lapsed)
     }
 
+    /// Returns the revision of the entry of an upstream that has one.
+    #[must_use]
+    pub fn upstream_revision(&self, id: &Arc<str>) -> Option<u64> {
+        let entry = self.entries.get(&(EntryKind::Upstream, id.clone()))?;
+        entry.value.is_some().then_some(entry.revision)
+    }
+
     /// Returns whether the store has answered for so long that it lists all upstreams that live and
     /// reach it.
     #[must_use]
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -131,6 +131,8 @@
     times: HashMap<Arc<str>, ResponseTimes>,
     /// Requests per second that upstreams have named as their limit, and when it was reported.
     limits: HashMap<Arc<str>, (f64, Millis)>,
+    /// Requests per second that upstreams tolerate which are cold now.
+    cold_rates: HashMap<Arc<str>, f64>,
 }
 
 /// An upstream's responses, older ones weighted less: their number, and the sum of their times in
@@ -157,8 +159,14 @@
     pub fn new(now: Millis) -> Self {
         let no_rates = vec![0.0; KEY_COUNT as usize];
         let recent_rates = no_rates.clone();
-        let (times, limits) = (HashMap::default(), HashMap::default());
-        Self { rates: no_rates, recent_rates, decayed_at: now, times, limits }
+        Self {
+            rates: no_rates,
+            recent_rates,
+            decayed_at: now,
+            times: HashMap::default(),
+            limits: HashMap::default(),
+            cold_rates: HashMap::default(),
+        }
     }
 
     /// Reduces the weight of older requests in the rates.
@@ -202,6 +210,18 @@
         self.limits.get(upstream).map(|(per_second, _)| *per_second)
     }
 
+    /// Replaces the requests per second that upstreams tolerate which are cold now, see
+    /// [`crate::warmup`].
+    pub fn set_cold_rates(&mut self, cold_rates: HashMap<Arc<str>, f64>) {
+        self.cold_rates = cold_rates;
+    }
+
+    /// Returns the requests per second that an upstream tolerates, if it is cold.
+    #[must_use]
+    pub fn cold_rate(&self, upstream: &str) -> Option<f64> {
+        self.cold_rates.get(upstream).copied()
+    }
+
     /// Returns the requests per second for each key.
     #[must_use]
     pub fn rates(&self) -> &[f32] {
--- a/src/upstream_state.rs
+++ b/src/upstream_state.rs
@@ -9,6 +9,7 @@
 use crate::{
     clock::Millis,
     rate_limit::{InstancePosition, LimitNotice, RateLimit},
+    warmup::ColdPace,
 };
 use std::sync::Arc;
 
@@ -115,6 +116,8 @@
     pub window_cut_at: Millis,
     /// The limit that it has named, if any.
     pub rate_limit: Option<RateLimit>,
+    /// This instance's part of the requests for it while it is cold.
+    pub cold: Option<ColdPace>,
     /// Until when it wants no requests from this instance.
     pub rests_until: Millis,
     /// Until when requests are not forwarded because of it, as others do not reach it either.
@@ -139,6 +142,7 @@
             last_report: None,
             window_cut_at: 0,
             rate_limit: None,
+            cold: None,
             rests_until: 0,
             unreachable_for_others_until: 0,
         }
@@ -149,9 +153,14 @@
         self.has_capacity() && !self.is_rate_limited(now) && now >= self.rests_until
     }
 
-    /// Returns whether its limit forbids another request now.
+    /// Returns whether its limit, or that of cold upstreams, forbids another request now.
     pub fn is_rate_limited(&self, now: Millis) -> bool {
-        self.rate_limit.is_some_and(|l| !l.admits(now))
+        self.rate_limit.is_some_and(|l| !l.admits(now)) || self.cold.is_some_and(|c| !c.admits(now))
+    }
+
+    /// Returns the pace of requests if it is cold.
+    pub fn cold_pace(&self, now: Millis) -> Option<&ColdPace> {
+        self.cold.as_ref().filter(|c| c.is_cold(now))
     }
 
     /// Counts a request as in flight.
@@ -160,6 +169,9 @@
         if let Some(limit) = &mut self.rate_limit {
             limit.take(now);
         }
+        if let Some(cold) = &mut self.cold {
+            cold.take(now);
+        }
     }
 
     /// Takes over what a response says about the limit; returns whether that changes it.
@@ -187,13 +199,16 @@
     /// upstream may serve, is likely to be sent.
     pub fn expected_wait(&self, now: Millis, count: f64) -> f64 {
         let by_window = count * self.response_time / self.window.max(MIN_WINDOW);
-        self.rate_limit.map_or(by_window, |l| by_window.max(l.wait_ms(now, count)))
+        let by_limit = self.rate_limit.map_or(0.0, |l| l.wait_ms(now, count));
+        let by_pace = self.cold_pace(now).map_or(0.0, |c| c.wait_ms(now, count));
+        by_window.max(by_limit).max(by_pace)
     }
 
     /// Returns the requests per millisecond that this instance can expect to have served.
-    pub fn throughput(&self) -> f64 {
+    pub fn throughput(&self, now: Millis) -> f64 {
         let by_window = self.window.max(MIN_WINDOW) / self.response_time.max(1.0);
-        self.rate_limit.map_or(by_window, |l| l.rate().min(by_window))
+        let by_limit = self.rate_limit.map_or(by_window, |l| l.rate().min(by_window));
+        self.cold_pace(now).map_or(by_limit, |c| c.rate(now).min(by_limit))
     }
 
     pub fn has_capacity(&self) -> bool {
