Give a lease back once no write of it is in transit

Cause: at a planned stop the lease was given back with the revision known then, while a commit or renewal was in transit. That write succeeded, the one that gave the lease back met a conflict, which was logged as given back, and the late success made the process hold the lease again. Nobody renewed it, and all others waited until it lapsed.

Change: `Resignation` decides what a process that stops does with its lease: it waits for the pending write, gives the lease back with the revision of that one, and after a conflict or an unknown outcome reads the row first. Its lease is never held again. All others are told of the end by CoordinatorStatus, as after a cut.

--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -5,10 +5,11 @@
 //! coordinator or that one has gone silent. While its lease is valid, it commits owners and sends
 //! grants and releases; otherwise it reports traffic to the coordinator.
 
+mod giving_back;
 mod store_calls;
 
 use crate::{
-    adapter::{Change, ChangeOutcome, Row, RowName},
+    adapter::{ChangeOutcome, Row, RowName},
     clock::{Millis, boot_millis},
     collections::HashMap,
     coordinator::{Coordinator, GrantOrder, GrantTimes, OrderId, OrderOutcome, ReleaseOrder},
@@ -18,7 +19,9 @@
     lease::{self, Lease},
     node::Node,
     overload::OverloadMonitor,
-    rebalance, revision,
+    rebalance,
+    resignation::Resignation,
+    revision,
     routing_config::UpstreamInfo,
     shared_state::{EntryKind, EntryValue, StateEntry},
     sweep::UpstreamMemory,
@@ -200,8 +203,10 @@
     upstream_count: (usize, Millis),
     /// Generation of the store in which this instance's name was published as the coordinator's.
     published_generation: Option<u64>,
-    /// Whether the lease was given back because the instance stops.
-    resigned: bool,
+    /// How far the lease was given back, once the instance stops; it is never held again then.
+    resignation: Option<Resignation>,
+    /// Is signalled once the lease was given back.
+    resignation_done: Option<oneshot::Sender<()>>,
 }
 
 /// Starts the coordinator task of a service unless it is running.
@@ -250,7 +255,8 @@
         commit_sent_at: 0,
         upstream_count: (0, now),
         published_generation: None,
-        resigned: false,
+        resignation: None,
+        resignation_done: None,
     };
     let delay = task.takeover_delay_ms();
     let task = CoordinatorTask { next_call_at: task.next_call_at + delay, ..task };
@@ -345,23 +351,24 @@
                     coordinator.on_release_outcome(now, id, &outcome);
                 }
             }
+            Event::LeaseWriteEnded { outcome, .. } if self.resignation.is_some() => {
+                self.on_write_ended_while_resigning(now, &outcome);
+            }
             Event::LeaseWriteEnded { sent, commit, outcome } => {
                 self.on_lease_write_ended(now, sent, commit, &outcome);
             }
+            Event::LeaseRead { row: Ok(row), .. } if self.resignation.is_some() => {
+                self.on_lease_read_while_resigning(&row);
+            }
             Event::LeaseRead { sent, row: Ok(row) } => {
                 self.on_lease_read(now, sent, &row);
             }
+            Event::OwnersRead(_) if self.resignation.is_some() => self.call_sent_at = None,
             Event::OwnersRead(Ok(row)) => self.on_owners_read(now, &row),
             Event::LeaseRead { row: Err(e), .. } | Event::OwnersRead(Err(e)) => {
                 self.on_read_failed(now, &e);
             }
-            Event::LeaseGivenBack(outcome) => {
-                self.call_sent_at = None;
-                let given_back = outcome != ChangeOutcome::Unknown;
-                log::info!(service = &*self.service, given_back; "gave the lease back");
-                let (service, acting) = (self.service.clone(), false);
-                gossip::broadcast(&self.node, &Message::CoordinatorStatus { service, acting });
-            }
+            Event::LeaseGivenBack(outcome) => self.on_given_back(now, &outcome),
             Event::Resign(done) => self.resign(done),
         }
     }
@@ -376,7 +383,8 @@
             self.send_report();
         }
         self.remember_upstreams(now);
-        if self.resigned {
+        if self.resignation.is_some() {
+            self.continue_resignation(now);
             return;
         }
         if self.call_sent_at.is_some_and(|sent| now >= sent + SLOW_CALL_MS) {
@@ -717,23 +725,6 @@
             .map_or_else(Vec::new, |s| s.upstreams.values().cloned().collect())
     }
 
-    /// Gives the lease back, if this instance holds it, because the instance stops; signals `done` once
-    /// the store call ended.
-    fn resign(&mut self, done: oneshot::Sender<()>) {
-        self.resigned = true;
-        self.acting.set(false);
-        let Some(held) = self.lease.held_revision() else {
-            let _ = done.send(());
-            return;
-        };
-        let call = self.give_back(held);
-        tokio::task::spawn_local(async move {
-            let outcome = call.await;
-            log::info!(given_back = outcome != ChangeOutcome::Unknown; "gave the lease back");
-            let _ = done.send(());
-        });
-    }
-
     /// Gives the lease back, if this instance holds it, to one that reaches the upstreams before their
     /// grants have expired.
     fn leave_to_others(&mut self) {
@@ -745,24 +736,7 @@
             return;
         };
         log::warn!(service = &*self.service; "cut off from the upstreams, gives the lease back");
-        let call = self.give_back(held);
-        self.call_sent_at = Some(boot_millis());
-        let tx = self.tx.clone();
-        tokio::task::spawn_local(async move {
-            // The receiver ends only with the process.
-            let _ = tx.send(Event::LeaseGivenBack(call.await));
-        });
-    }
-
-    /// Stops to coordinate, and returns the call that gives the held lease back.
-    fn give_back(&mut self, held: u64) -> LocalBoxFuture<'static, ChangeOutcome> {
-        let row = self.lease.resignation_row(held);
-        let expect = vec![(self.lease_row_name(), held)];
-        let put = vec![(self.lease_row_name(), encode_row(&row))];
-        let call = (self.node.adapter.table.change)(Change { expect, put });
-        self.lease.on_lost();
-        self.forget_coordination();
-        call
+        self.give_back(held);
     }
 
     /// Forgets what only the holder of the lease needs.
--- a/src/coordinator_task/store_calls.rs
+++ b/src/coordinator_task/store_calls.rs
@@ -58,7 +58,7 @@
         revision::generation(coordinator.revision()) < revision::generation(held)
     }
 
-    fn read_row(&mut self, now: Millis, name: RowName) {
+    pub(super) fn read_row(&mut self, now: Millis, name: RowName) {
         self.call_sent_at = Some(now);
         // Of the two rows that are read, only that of the owners is in the followed table.
         let is_lease = !name.followed;
@@ -189,6 +189,7 @@
         self.call_sent_at = None;
         let delay = match self.lease.held_revision() {
             Some(_) => CALL_RETRY_DELAY_MS,
+            None if self.resignation.is_some() => CALL_RETRY_DELAY_MS,
             None => lease::failed_read_delay(self.failed_reads, self.rank()),
         };
         self.failed_reads += 1;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -144,6 +144,7 @@
 pub mod registry;
 mod request_handler;
 mod request_identity;
+pub mod resignation;
 pub mod resource;
 pub mod retry_budget;
 pub mod revision;
