Let the largest instances take the lease first

Cause: instances read the lease in a hashed order, and small ones with an extra delay of up to 3.2 s, also if no larger one was alive. A takeover could last longer than grants.

Change: `succession::Place` orders instances by class of size, then by data centres in turn and hash. Each class has frequent reporters, so that it notices a silence in time. A lease that is about to lapse is read just when it may be taken. `PeerInfo` has `cpu_cores`; instances of unknown size count as of the own size. The delay for small instances remains at their start, when they know no others. The end of a coordinator is passed on within a data centre.

--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -24,36 +24,22 @@
     revision,
     routing_config::UpstreamInfo,
     shared_state::{EntryKind, EntryValue, StateEntry},
+    succession::{Candidate, Place, REPORT_INTERVAL_MS, SILENCE_LIMIT_MS},
     sweep::UpstreamMemory,
     traffic::{TrafficReport, TrafficStats},
 };
 use futures::future::LocalBoxFuture;
 use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use tokio::sync::{mpsc, oneshot};
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Time between two polls of a task.
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
-/// Time in milliseconds between traffic reports; the replies show whether the coordinator acts.
-const REPORT_INTERVAL_MS: Millis = 500;
-/// Number of instances, the first by [`CoordinatorTask::rank`], that report at
-/// [`REPORT_INTERVAL_MS`]. The others report less often the more instances there are, so that the
-/// coordinator's load does not grow with their number.
-const FREQUENT_REPORTER_COUNT: Millis = 8;
-/// Report interval of the other instances in milliseconds per known instance: the interval is this
-/// times their number.
-const REPORT_PER_INSTANCE_MS: Millis = 5;
-/// Number of CPU cores with which an instance takes a lease without extra delay.
+/// Number of CPU cores with which an instance that starts takes a lease without extra delay: it does
+/// not know the others yet.
 const AMPLE_CPU_CORES: f64 = 0.4;
 /// Extra delay in milliseconds of an instance with half of [`AMPLE_CPU_CORES`]. With other numbers
 /// of cores, it is multiplied by `AMPLE_CPU_CORES / cores - 1`, at most by 8.
 const LOW_CPU_DELAY_MS: f64 = 400.0;
-/// Time in milliseconds after which a coordinator that has not been heard from counts as silent, so
-/// that its lease is read: about two reports.
-const SILENCE_LIMIT_MS: Millis = 900;
-/// Time in milliseconds by which each rank starts to read the lease later than the one before, so
-/// that few instances read it at the same time.
-const RANK_DELAY_MS: Millis = 40;
 /// Time in milliseconds after which a call that the store has not answered counts as an outage.
 const SLOW_CALL_MS: Millis = 400;
 /// Time in milliseconds between log lines on grants that got no answer.
@@ -277,15 +263,19 @@
     handle.acting.get()
 }
 
-/// Notes whether another instance acts as the service's coordinator.
-pub(crate) fn on_coordinator_status(node: &Node, service: &str, acting: bool) {
+/// Notes whether another instance acts as the service's coordinator; returns whether it is news that
+/// it does not.
+pub(crate) fn on_coordinator_status(node: &Node, service: &str, acting: bool) -> bool {
+    let mut has_ended = false;
     if let Some(handle) = node.coordinators.borrow().get(service) {
         let now = boot_millis();
+        has_ended = !acting && now < handle.last_heard.get() + SILENCE_LIMIT_MS;
         // One that has stopped acting has given the lease back or cannot renew it. It counts as
         // silent, and the instances read the lease in the order of their rank.
         let silent_since = handle.last_heard.get().min(now.saturating_sub(SILENCE_LIMIT_MS));
         handle.last_heard.set(if acting { now } else { silent_since });
     }
+    has_ended
 }
 
 /// Gives all leases back, so that other instances can take them without waiting.
@@ -509,22 +499,15 @@
     /// Returns whether the coordinator has not been heard from for as long as this instance waits.
     fn is_coordinator_silent(&self, now: Millis) -> bool {
         let silent_ms = now.saturating_sub(self.last_heard.get());
-        let extra = || {
-            let extra_interval = self.report_interval_ms() - REPORT_INTERVAL_MS;
-            extra_interval + self.rank() * RANK_DELAY_MS + self.takeover_delay_ms()
-        };
-        silent_ms >= SILENCE_LIMIT_MS && silent_ms >= SILENCE_LIMIT_MS + extra()
+        // Finding the place scans all instances.
+        silent_ms >= SILENCE_LIMIT_MS && silent_ms >= self.place().silence_limit_ms()
     }
 
     fn report_interval_ms(&self) -> Millis {
-        if self.acting.get() || self.rank() < FREQUENT_REPORTER_COUNT {
-            return REPORT_INTERVAL_MS;
-        }
-        let instances = self.node.shared_state.borrow().instances().count() as Millis;
-        REPORT_INTERVAL_MS.max(instances * REPORT_PER_INSTANCE_MS)
+        if self.acting.get() { REPORT_INTERVAL_MS } else { self.place().report_interval_ms() }
     }
 
-    /// Returns by how many milliseconds this instance waits longer than one with
+    /// Returns by how many milliseconds this instance waits longer at its start than one with
     /// [`AMPLE_CPU_CORES`].
     fn takeover_delay_ms(&self) -> Millis {
         let ratio = (AMPLE_CPU_CORES / self.node.cfg.cpu_cores.max(0.01) - 1.0).clamp(0.0, 8.0);
@@ -540,13 +523,17 @@
         shared_state.coordinator(&self.service).is_none_or(|name| *name == self.node.cfg.name)
     }
 
-    /// Returns the position of this instance in a hashed order, which mixes the data centres and
-    /// differs between services.
-    fn rank(&self) -> Millis {
-        let position = |name: &str| xxh3_64(format!("{name}/{}", self.service).as_bytes());
-        let own = position(&self.node.cfg.name);
+    /// Returns the place of this instance among those that may take the lease.
+    fn place(&self) -> Place {
+        let (name, cfg) = (&self.node.cfg.name, &self.node.cfg);
+        let own = Candidate { name, data_center: &cfg.data_center, cpu_cores: cfg.cpu_cores };
         let shared_state = self.node.shared_state.borrow();
-        shared_state.instances().filter(|(name, _)| position(name) < own).count() as Millis
+        let known = shared_state.instances().map(|(name, peer)| Candidate {
+            name,
+            data_center: &peer.data_center,
+            cpu_cores: peer.cpu_cores,
+        });
+        Place::find(&self.service, own, known)
     }
 
     /// Plans moves, and sends the grants and releases that are due.
--- a/src/coordinator_task/store_calls.rs
+++ b/src/coordinator_task/store_calls.rs
@@ -120,7 +120,8 @@
                 self.lease.on_written(sent, *revision);
                 self.outage = now >= sent + SLOW_CALL_MS;
                 if taken {
-                    log::info!(service = &*self.service, revision; "took the lease");
+                    let place = self.place();
+                    log::info!(service = &*self.service, revision, place:?; "took the lease");
                 }
                 let generation = Some(revision::generation(*revision));
                 if self.published_generation != generation {
@@ -190,7 +191,7 @@
         let delay = match self.lease.held_revision() {
             Some(_) => CALL_RETRY_DELAY_MS,
             None if self.resignation.is_some() => CALL_RETRY_DELAY_MS,
-            None => lease::failed_read_delay(self.failed_reads, self.rank()),
+            None => lease::failed_read_delay(self.failed_reads, self.place().position),
         };
         self.failed_reads += 1;
         self.next_call_at = now + delay;
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -454,7 +454,12 @@
             vec![Message::CoordinatorStatus { service, acting }]
         }
         Message::CoordinatorStatus { service, acting } => {
-            coordinator_task::on_coordinator_status(node, &service, acting);
+            let has_ended = coordinator_task::on_coordinator_status(node, &service, acting);
+            let is_coordinator = node.shared_state.borrow().coordinator(&service) == Some(from);
+            if has_ended && is_coordinator {
+                // The others of the data centre would learn it with their next reports.
+                pass_on(node, from, Message::CoordinatorStatus { service, acting }, false);
+            }
             Vec::new()
         }
     }
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -156,11 +156,11 @@
     }
 
     /// Returns the delay in milliseconds until the next read of the row: half of the time until the
-    /// lease may be taken over if the row does not change.
+    /// lease may be taken over if the row does not change, and all of it at the end.
     ///
     /// Answers the load of hundreds of instances that cannot hear from a live coordinator: each
     /// renewal that one of them sees puts its next read off by a second. A row that is about to be
-    /// taken over is read as often as [`MIN_READ_INTERVAL_MS`] allows.
+    /// taken over is read just when it may be.
     #[must_use]
     pub fn read_delay(&self, now: Millis) -> Millis {
         let since = match &self.state {
@@ -168,7 +168,8 @@
             _ => return MIN_READ_INTERVAL_MS,
         };
         let left = (since + TAKEOVER_WAIT_MS).saturating_sub(now);
-        MIN_READ_INTERVAL_MS.max(left / 2)
+        let is_last = left <= 2 * MIN_READ_INTERVAL_MS;
+        MIN_READ_INTERVAL_MS.max(if is_last { left } else { left / 2 })
     }
 
     /// Records that a write sent at `sent` succeeded with `revision`.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -156,6 +156,7 @@
 mod socket;
 pub mod standby;
 pub mod standin;
+pub mod succession;
 pub mod suspects;
 mod sweep;
 mod tasks;
--- a/src/node.rs
+++ b/src/node.rs
@@ -691,6 +691,7 @@
             address: self.cfg.peer_address,
             data_center: self.cfg.data_center.clone(),
             accepts_requests: true,
+            cpu_cores: self.cfg.cpu_cores,
         }
     }
 
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -73,6 +73,9 @@
     /// do not.
     #[serde(default)]
     pub accepts_requests: bool,
+    /// Number of its CPU cores, 0 if not known; earlier versions do not tell it.
+    #[serde(default)]
+    pub cpu_cores: f64,
 }
 
 /// Value of an entry, by kind.
