Hand the lease over to larger instances

Cause: a small instance that took the lease while the large ones were away kept it for good.

The holder renews all grants, gives the lease back after 500 ms and abstains for 3 s: 5 s after it took the lease, or 1 s if most grants are not answered. Without an offer, nothing is handed over. With a holder of the largest class, no call is made.

--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -18,6 +18,7 @@
     grant_budget::GrantBudget,
     keymap::{KeyMap, KeyRange, Owner},
     lease::{self, Lease},
+    lease_handover::LeaseHandover,
     node::Node,
     overload::OverloadMonitor,
     rebalance,
@@ -55,6 +56,9 @@
 const SLOW_CALL_MS: Millis = 400;
 /// Time in milliseconds between log lines on grants that got no answer.
 const GRANT_LOG_INTERVAL_MS: Millis = 1_000;
+/// Number of grants without an answer in [`GRANT_LOG_INTERVAL_MS`] from which a coordinator is taken
+/// to fall behind, if fewer were answered.
+const MIN_BEHIND: usize = 50;
 /// Time in milliseconds between log lines on the upstreams that a sweep waits for.
 const SWEEP_LOG_INTERVAL_MS: Millis = 1_000;
 /// Maximum number of upstreams that are named in such a line.
@@ -105,6 +109,8 @@
     OwnersRead(Result<Row>),
     /// The write that gives the lease back has ended.
     LeaseGivenBack(ChangeOutcome),
+    /// An instance of this name offers to take the lease over.
+    LeaseOffered(Arc<str>),
     /// Give the lease back, and signal the end of that.
     Resign(oneshot::Sender<()>),
 }
@@ -126,6 +132,8 @@
 struct GrantCounts {
     answered: usize,
     unanswered: usize,
+    /// Whether most grants got no answer when they were last logged.
+    is_behind: bool,
     /// When they were last logged and reset.
     logged_at: Millis,
 }
@@ -143,11 +151,12 @@
         if now < self.logged_at + GRANT_LOG_INTERVAL_MS {
             return;
         }
+        let is_behind = self.unanswered >= MIN_BEHIND && self.unanswered > self.answered;
         if self.unanswered > 0 {
             let (answered, unanswered) = (self.answered, self.unanswered);
             log::warn!(service, answered, unanswered; "grants got no response");
         }
-        *self = Self { logged_at: now, ..Self::default() };
+        *self = Self { logged_at: now, is_behind, ..Self::default() };
     }
 }
 
@@ -201,6 +210,12 @@
     upstream_count: (usize, Millis),
     /// Generation of the store in which this instance's name was published as the coordinator's.
     published_generation: Option<u64>,
+    /// When this instance began to act as the coordinator.
+    acting_since: Millis,
+    handover: LeaseHandover,
+    /// When this instance last read the lease to offer to take it over, and whether that read is
+    /// pending.
+    offer: (Millis, bool),
     /// How far the lease was given back, once the instance stops; it is never held again then.
     resignation: Option<Resignation>,
     /// Is signalled once the lease was given back.
@@ -253,6 +268,9 @@
         commit_sent_at: 0,
         upstream_count: (0, now),
         published_generation: None,
+        acting_since: 0,
+        handover: LeaseHandover::default(),
+        offer: (0, false),
         resignation: None,
         resignation_done: None,
     };
@@ -290,6 +308,14 @@
     has_ended
 }
 
+/// Passes the offer of another instance to take the lease over to the service's task.
+pub(crate) fn on_lease_offer(node: &Node, service: &str, from: &Arc<str>) {
+    if let Some(handle) = node.coordinators.borrow().get(service) {
+        // The task ends only with the process.
+        let _ = handle.tx.send(Event::LeaseOffered(from.clone()));
+    }
+}
+
 /// Gives all leases back, so that other instances can take them without waiting.
 pub(crate) async fn resign_all(node: &Node) {
     let mut waits = Vec::new();
@@ -379,6 +405,7 @@
                 self.on_read_failed(now, &e);
             }
             Event::LeaseGivenBack(outcome) => self.on_given_back(now, &outcome),
+            Event::LeaseOffered(name) => self.on_lease_offered(now, &name),
             Event::Resign(done) => self.resign(done),
         }
     }
@@ -402,18 +429,24 @@
         }
         if self.is_cut_off() {
             self.leave_to_others();
-        } else if self.call_sent_at.is_none() && now >= self.next_call_at {
+        } else if self.call_sent_at.is_none()
+            && now >= self.next_call_at
+            && !self.handover.is_due(now)
+        {
             self.start_due_call(now);
         }
         let acting = self.lease.is_valid(now) && self.coordinator.is_some();
         if self.acting.replace(acting) != acting {
             let service = &*self.service;
             log::info!(service, acting, outage = self.outage; "authority over keys changed");
+            self.acting_since = now;
+            self.handover = LeaseHandover::default();
         }
         self.grant_counts.log(now, &self.service);
         if acting {
             self.last_heard.set(now);
             self.coordinate(now);
+            self.hand_over_if_due(now);
         }
     }
 
@@ -599,7 +632,10 @@
         coordinator.on_owners_ended(|o| later(o).is_some_and(|u| has_moved(o, u)));
         coordinator.on_owners_restarted(|o| later(o).is_some_and(|u| !has_moved(o, u)));
         let mut started_moves = Vec::new();
-        if now >= self.planned_at + PLAN_INTERVAL_MS && self.uncertain_commit.is_none() && !settling
+        if now >= self.planned_at + PLAN_INTERVAL_MS
+            && self.uncertain_commit.is_none()
+            && !settling
+            && !self.handover.has_begun()
         {
             self.planned_at = now;
             self.traffic.decay(now);
@@ -758,6 +794,7 @@
 
     /// Forgets what only the holder of the lease needs.
     fn forget_coordination(&mut self) {
+        self.handover = LeaseHandover::default();
         self.coordinator = None;
         self.uncertain_commit = None;
         self.published_generation = None;
--- a/src/coordinator_task/giving_back.rs
+++ b/src/coordinator_task/giving_back.rs
@@ -5,8 +5,10 @@
     adapter::{Change, ChangeOutcome, Row},
     clock::{Millis, boot_millis},
     gossip::{self, Message},
+    lease_handover::{self, ABSTENTION_MS},
     resignation::{Resignation, Step},
 };
+use std::sync::Arc;
 use tokio::sync::oneshot;
 
 /// Least time in milliseconds between a failed store call of a resignation and the next one.
@@ -97,4 +99,67 @@
         let (service, acting) = (self.service.clone(), false);
         gossip::broadcast(&self.node, &Message::CoordinatorStatus { service, acting });
     }
+
+    /// Notes the offer of an instance to take the lease over.
+    pub(super) fn on_lease_offered(&mut self, now: Millis, name: &Arc<str>) {
+        let cores = self.node.shared_state.borrow().instance(name).map_or(0.0, |p| p.cpu_cores);
+        let counts = self.handover.on_offer(now, self.node.cfg.cpu_cores, cores);
+        log::debug!(service = &*self.service, from = &**name, cores, counts; "lease offer");
+    }
+
+    /// Hands the lease over to a larger instance that has offered to take it.
+    pub(super) fn hand_over_if_due(&mut self, now: Millis) {
+        let is_behind = self.grant_counts.is_behind;
+        match self.handover.next_step(now, self.acting_since, is_behind) {
+            lease_handover::Step::Keep | lease_handover::Step::Wait => {}
+            lease_handover::Step::Renew => {
+                let (own_cores, held_ms) = (self.node.cfg.cpu_cores, now - self.acting_since);
+                log::info!(
+                    service = &*self.service, own_cores, held_ms, is_behind;
+                    "hands the lease over to a larger instance"
+                );
+                if let Some(coordinator) = &mut self.coordinator {
+                    coordinator.renew_all();
+                }
+            }
+            lease_handover::Step::GiveBack => {
+                if self.call_sent_at.is_none()
+                    && let Some(held) = self.lease.held_revision()
+                {
+                    self.give_back(held);
+                    self.acting.set(false);
+                    self.next_call_at = now + ABSTENTION_MS;
+                }
+            }
+        }
+    }
+
+    /// Returns whether the lease is to be read so that this instance can offer to take it over from
+    /// a smaller one.
+    pub(super) fn is_offer_due(&mut self, now: Millis) -> bool {
+        if !lease_handover::is_offer_due(now, self.offer.0) {
+            return false;
+        }
+        self.offer.0 = now;
+        let coordinator_cores = {
+            let shared_state = self.node.shared_state.borrow();
+            let name = shared_state.coordinator(&self.service);
+            name.and_then(|n| shared_state.instance(n)).map_or(0.0, |p| p.cpu_cores)
+        };
+        let own_cores = self.node.cfg.cpu_cores;
+        lease_handover::may_offer(own_cores, coordinator_cores, 0)
+            && lease_handover::may_offer(own_cores, coordinator_cores, self.place().rank)
+    }
+
+    /// Offers the coordinator to take the lease over, if the read that was made for that succeeded.
+    pub(super) fn offer_if_read(&mut self) {
+        if !std::mem::take(&mut self.offer.1) {
+            return;
+        }
+        let coordinator = self.node.shared_state.borrow().coordinator(&self.service).cloned();
+        if let Some(name) = coordinator.filter(|n| *n != self.node.cfg.name) {
+            let service = self.service.clone();
+            gossip::send(&self.node, &name, Message::LeaseOffer { service });
+        }
+    }
 }
--- a/src/coordinator_task/store_calls.rs
+++ b/src/coordinator_task/store_calls.rs
@@ -47,6 +47,9 @@
         if self.has_no_other_coordinator() || self.is_coordinator_silent(now) {
             self.next_call_at = now + lease::MIN_READ_INTERVAL_MS;
             self.read_row(now, self.lease_row_name());
+        } else if self.is_offer_due(now) {
+            self.offer.1 = true;
+            self.read_row(now, self.lease_row_name());
         }
     }
 
@@ -189,6 +192,7 @@
     pub(super) fn on_read_failed(&mut self, now: Millis, e: &Error) {
         log::debug!(service = &*self.service; "{e}");
         self.call_sent_at = None;
+        self.offer.1 = false;
         let delay = match self.lease.held_revision() {
             Some(_) => CALL_RETRY_DELAY_MS,
             None if self.resignation.is_some() => CALL_RETRY_DELAY_MS,
@@ -227,6 +231,7 @@
             self.write_lease_at(now, revision, None);
         } else {
             self.next_call_at = sent + self.lease.read_delay(sent);
+            self.offer_if_read();
         }
     }
 
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -113,6 +113,9 @@
     /// Reply to [`Message::Traffic`]: whether the sender acts as the service's coordinator.
     #[serde(rename = "Acting")]
     CoordinatorStatus { service: Arc<str>, acting: bool },
+    /// The sender, which is larger than the service's coordinator and reaches the store, offers to
+    /// take its lease over.
+    LeaseOffer { service: Arc<str> },
 }
 
 impl Message {
@@ -462,5 +465,9 @@
             }
             Vec::new()
         }
+        Message::LeaseOffer { service } => {
+            coordinator_task::on_lease_offer(node, &service, from);
+            Vec::new()
+        }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -120,6 +120,7 @@
 pub mod jsonc;
 pub mod keymap;
 pub mod lease;
+pub mod lease_handover;
 pub mod listeners;
 pub mod load_balancing;
 pub mod logging;
