--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -5,57 +5,62 @@
 //! coordinator or that one has gone silent. While its lease is valid, it commits owners and sends
 //! grants and releases; otherwise it reports traffic to the coordinator.
 
+mod giving_back;
 mod store_calls;
 
 use crate::{
-    adapter::{Change, ChangeOutcome, Row, RowName},
+    adapter::{ChangeOutcome, Row, RowName},
     clock::{Millis, boot_millis},
     collections::HashMap,
     coordinator::{Coordinator, GrantOrder, GrantTimes, OrderId, OrderOutcome, ReleaseOrder},
     error::Result,
     evacuation,
     gossip::{self, Message, MovingKeys},
+    grant_budget::GrantBudget,
     keymap::{KeyMap, KeyRange, Owner},
     lease::{self, Lease},
+    lease_handover::LeaseHandover,
     node::Node,
     overload::OverloadMonitor,
-    rebalance, revision,
+    rebalance,
+    resignation::Resignation,
+    revision,
     routing_config::UpstreamInfo,
     shared_state::{EntryKind, EntryValue, StateEntry},
+    succession::{Candidate, Place, REPORT_INTERVAL_MS, SILENCE_LIMIT_MS},
     sweep::UpstreamMemory,
     traffic::{TrafficReport, TrafficStats},
 };
 use futures::future::LocalBoxFuture;
-use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 use tokio::sync::{mpsc, oneshot};
-use xxhash_rust::xxh3::xxh3_64;
+use tokio_util::sync::CancellationToken;
 
 /// Time between two polls of a task.
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
-/// Time in milliseconds between traffic reports; the replies show whether the coordinator acts.
-const REPORT_INTERVAL_MS: Millis = 500;
-/// Number of instances, the first by [`CoordinatorTask::rank`], that report at
-/// [`REPORT_INTERVAL_MS`]. The others report less often the more instances there are, so that the
-/// coordinator's load does not grow with their number.
-const FREQUENT_REPORTER_COUNT: Millis = 8;
-/// Report interval of the other instances in milliseconds per known instance: the interval is this
-/// times their number.
-const REPORT_PER_INSTANCE_MS: Millis = 5;
-/// Number of CPU cores with which an instance takes a lease without extra delay.
+/// Number of CPU cores with which an instance that starts takes a lease without extra delay: it does
+/// not know the others yet.
 const AMPLE_CPU_CORES: f64 = 0.4;
 /// Extra delay in milliseconds of an instance with half of [`AMPLE_CPU_CORES`]. With other numbers
 /// of cores, it is multiplied by `AMPLE_CPU_CORES / cores - 1`, at most by 8.
 const LOW_CPU_DELAY_MS: f64 = 400.0;
-/// Time in milliseconds after which a coordinator that has not been heard from counts as silent, so
-/// that its lease is read: about two reports.
-const SILENCE_LIMIT_MS: Millis = 900;
-/// Time in milliseconds by which each rank starts to read the lease later than the one before, so
-/// that few instances read it at the same time.
-const RANK_DELAY_MS: Millis = 40;
+/// Time after a poll until an event causes another one, as a multiple of the time that the poll took.
+/// With hundreds of ranges, a poll takes long, and each of hundreds of answers a second would cause
+/// one.
+const POLL_PAUSE_FACTOR: u32 = 4;
 /// Time in milliseconds after which a call that the store has not answered counts as an outage.
 const SLOW_CALL_MS: Millis = 400;
 /// Time in milliseconds between log lines on grants that got no answer.
 const GRANT_LOG_INTERVAL_MS: Millis = 1_000;
+/// Number of grants without an answer in [`GRANT_LOG_INTERVAL_MS`] from which a coordinator is taken
+/// to fall behind, if fewer were answered.
+const MIN_BEHIND: usize = 50;
 /// Time in milliseconds between log lines on the upstreams that a sweep waits for.
 const SWEEP_LOG_INTERVAL_MS: Millis = 1_000;
 /// Maximum number of upstreams that are named in such a line.
@@ -71,7 +76,8 @@
 /// response times take about that long to show the effect.
 const MOVE_SETTLE_MS: Millis = 2_500;
 /// All keys get one new fence once at least this many neighbouring spans with the same owner differ
-/// in their fence, so that they merge; they must also be at least a fifth of all spans.
+/// in their fence, so that they merge; they must also be at least a fifth of all spans, unless there
+/// are more spans than [`GrantBudget::spans`].
 const MIN_MERGEABLE: usize = 20;
 /// How long a grant lasts in milliseconds while the store answers: a takeover and two renewals fit
 /// in.
@@ -105,6 +111,8 @@
     OwnersRead(Result<Row>),
     /// The write that gives the lease back has ended.
     LeaseGivenBack(ChangeOutcome),
+    /// An instance of this name offers to take the lease over.
+    LeaseOffered(Arc<str>),
     /// Give the lease back, and signal the end of that.
     Resign(oneshot::Sender<()>),
 }
@@ -126,6 +134,8 @@
 struct GrantCounts {
     answered: usize,
     unanswered: usize,
+    /// Whether most grants got no answer when they were last logged.
+    is_behind: bool,
     /// When they were last logged and reset.
     logged_at: Millis,
 }
@@ -143,11 +153,12 @@
         if now < self.logged_at + GRANT_LOG_INTERVAL_MS {
             return;
         }
+        let is_behind = self.unanswered >= MIN_BEHIND && self.unanswered > self.answered;
         if self.unanswered > 0 {
             let (answered, unanswered) = (self.answered, self.unanswered);
             log::warn!(service, answered, unanswered; "grants got no response");
         }
-        *self = Self { logged_at: now, ..Self::default() };
+        *self = Self { logged_at: now, is_behind, ..Self::default() };
     }
 }
 
@@ -201,8 +212,22 @@
     upstream_count: (usize, Millis),
     /// Generation of the store in which this instance's name was published as the coordinator's.
     published_generation: Option<u64>,
-    /// Whether the lease was given back because the instance stops.
-    resigned: bool,
+    /// Is cancelled when this instance stops to coordinate, which ends all orders in flight: nothing
+    /// of them is sent later.
+    orders_end: CancellationToken,
+    /// [`lease::LeaseRow::grants_end_ms`] of the row that was given back by the last holder, and when it was
+    /// read.
+    predecessor_grants: Option<(Millis, Millis)>,
+    /// When this instance began to act as the coordinator.
+    acting_since: Millis,
+    handover: LeaseHandover,
+    /// When this instance last read the lease to offer to take it over, and whether that read is
+    /// pending.
+    offer: (Millis, bool),
+    /// How far the lease was given back, once the instance stops; it is never held again then.
+    resignation: Option<Resignation>,
+    /// Is signalled once the lease was given back.
+    resignation_done: Option<oneshot::Sender<()>>,
 }
 
 /// Starts the coordinator task of a service unless it is running.
@@ -251,7 +276,13 @@
         commit_sent_at: 0,
         upstream_count: (0, now),
         published_generation: None,
-        resigned: false,
+        orders_end: CancellationToken::new(),
+        predecessor_grants: None,
+        acting_since: 0,
+        handover: LeaseHandover::default(),
+        offer: (0, false),
+        resignation: None,
+        resignation_done: None,
     };
     let delay = task.takeover_delay_ms();
     let task = CoordinatorTask { next_call_at: task.next_call_at + delay, ..task };
@@ -272,15 +303,27 @@
     handle.acting.get()
 }
 
-/// Notes whether another instance acts as the service's coordinator.
-pub(crate) fn on_coordinator_status(node: &Node, service: &str, acting: bool) {
+/// Notes whether another instance acts as the service's coordinator; returns whether it is news that
+/// it does not.
+pub(crate) fn on_coordinator_status(node: &Node, service: &str, acting: bool) -> bool {
+    let mut has_ended = false;
     if let Some(handle) = node.coordinators.borrow().get(service) {
         let now = boot_millis();
+        has_ended = !acting && now < handle.last_heard.get() + SILENCE_LIMIT_MS;
         // One that has stopped acting has given the lease back or cannot renew it. It counts as
         // silent, and the instances read the lease in the order of their rank.
         let silent_since = handle.last_heard.get().min(now.saturating_sub(SILENCE_LIMIT_MS));
         handle.last_heard.set(if acting { now } else { silent_since });
     }
+    has_ended
+}
+
+/// Passes the offer of another instance to take the lease over to the service's task.
+pub(crate) fn on_lease_offer(node: &Node, service: &str, from: &Arc<str>) {
+    if let Some(handle) = node.coordinators.borrow().get(service) {
+        // The task ends only with the process.
+        let _ = handle.tx.send(Event::LeaseOffered(from.clone()));
+    }
 }
 
 /// Gives all leases back, so that other instances can take them without waiting.
@@ -302,18 +345,26 @@
     async fn run(mut self, mut rx: mpsc::UnboundedReceiver<Event>) {
         let mut tick = tokio::time::interval(POLL_INTERVAL);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut next_poll = Instant::now();
         loop {
-            tokio::select! {
+            let is_tick = tokio::select! {
                 event = rx.recv() => match event {
-                    Some(event) => self.on_event(event),
+                    Some(event) => {
+                        self.on_event(event);
+                        false
+                    }
                     None => return,
                 },
-                _ = tick.tick() => {}
-            }
+                _ = tick.tick() => true,
+            };
             while let Ok(event) = rx.try_recv() {
                 self.on_event(event);
             }
-            self.poll();
+            let began = Instant::now();
+            if is_tick || began >= next_poll {
+                self.poll();
+                next_poll = Instant::now() + began.elapsed() * POLL_PAUSE_FACTOR;
+            }
         }
     }
 
@@ -346,23 +397,25 @@
                     coordinator.on_release_outcome(now, id, &outcome);
                 }
             }
+            Event::LeaseWriteEnded { outcome, .. } if self.resignation.is_some() => {
+                self.on_write_ended_while_resigning(now, &outcome);
+            }
             Event::LeaseWriteEnded { sent, commit, outcome } => {
                 self.on_lease_write_ended(now, sent, commit, &outcome);
             }
+            Event::LeaseRead { row: Ok(row), .. } if self.resignation.is_some() => {
+                self.on_lease_read_while_resigning(&row);
+            }
             Event::LeaseRead { sent, row: Ok(row) } => {
                 self.on_lease_read(now, sent, &row);
             }
+            Event::OwnersRead(_) if self.resignation.is_some() => self.call_sent_at = None,
             Event::OwnersRead(Ok(row)) => self.on_owners_read(now, &row),
             Event::LeaseRead { row: Err(e), .. } | Event::OwnersRead(Err(e)) => {
                 self.on_read_failed(now, &e);
             }
-            Event::LeaseGivenBack(outcome) => {
-                self.call_sent_at = None;
-                let given_back = outcome != ChangeOutcome::Unknown;
-                log::info!(service = &*self.service, given_back; "gave the lease back");
-                let (service, acting) = (self.service.clone(), false);
-                gossip::broadcast(&self.node, &Message::CoordinatorStatus { service, acting });
-            }
+            Event::LeaseGivenBack(outcome) => self.on_given_back(now, &outcome),
+            Event::LeaseOffered(name) => self.on_lease_offered(now, &name),
             Event::Resign(done) => self.resign(done),
         }
     }
@@ -377,7 +430,8 @@
             self.send_report();
         }
         self.remember_upstreams(now);
-        if self.resigned {
+        if self.resignation.is_some() {
+            self.continue_resignation(now);
             return;
         }
         if self.call_sent_at.is_some_and(|sent| now >= sent + SLOW_CALL_MS) {
@@ -385,18 +439,24 @@
         }
         if self.is_cut_off() {
             self.leave_to_others();
-        } else if self.call_sent_at.is_none() && now >= self.next_call_at {
+        } else if self.call_sent_at.is_none()
+            && now >= self.next_call_at
+            && !self.handover.is_due(now)
+        {
             self.start_due_call(now);
         }
         let acting = self.lease.is_valid(now) && self.coordinator.is_some();
         if self.acting.replace(acting) != acting {
             let service = &*self.service;
             log::info!(service, acting, outage = self.outage; "authority over keys changed");
+            self.acting_since = now;
+            self.handover = LeaseHandover::default();
         }
         self.grant_counts.log(now, &self.service);
         if acting {
             self.last_heard.set(now);
             self.coordinate(now);
+            self.hand_over_if_due(now);
         }
     }
 
@@ -502,22 +562,15 @@
     /// Returns whether the coordinator has not been heard from for as long as this instance waits.
     fn is_coordinator_silent(&self, now: Millis) -> bool {
         let silent_ms = now.saturating_sub(self.last_heard.get());
-        let extra = || {
-            let extra_interval = self.report_interval_ms() - REPORT_INTERVAL_MS;
-            extra_interval + self.rank() * RANK_DELAY_MS + self.takeover_delay_ms()
-        };
-        silent_ms >= SILENCE_LIMIT_MS && silent_ms >= SILENCE_LIMIT_MS + extra()
+        // Finding the place scans all instances.
+        silent_ms >= SILENCE_LIMIT_MS && silent_ms >= self.place().silence_limit_ms()
     }
 
     fn report_interval_ms(&self) -> Millis {
-        if self.acting.get() || self.rank() < FREQUENT_REPORTER_COUNT {
-            return REPORT_INTERVAL_MS;
-        }
-        let instances = self.node.shared_state.borrow().instances().count() as Millis;
-        REPORT_INTERVAL_MS.max(instances * REPORT_PER_INSTANCE_MS)
+        if self.acting.get() { REPORT_INTERVAL_MS } else { self.place().report_interval_ms() }
     }
 
-    /// Returns by how many milliseconds this instance waits longer than one with
+    /// Returns by how many milliseconds this instance waits longer at its start than one with
     /// [`AMPLE_CPU_CORES`].
     fn takeover_delay_ms(&self) -> Millis {
         let ratio = (AMPLE_CPU_CORES / self.node.cfg.cpu_cores.max(0.01) - 1.0).clamp(0.0, 8.0);
@@ -533,13 +586,17 @@
         shared_state.coordinator(&self.service).is_none_or(|name| *name == self.node.cfg.name)
     }
 
-    /// Returns the position of this instance in a hashed order, which mixes the data centres and
-    /// differs between services.
-    fn rank(&self) -> Millis {
-        let position = |name: &str| xxh3_64(format!("{name}/{}", self.service).as_bytes());
-        let own = position(&self.node.cfg.name);
+    /// Returns the place of this instance among those that may take the lease.
+    fn place(&self) -> Place {
+        let (name, cfg) = (&self.node.cfg.name, &self.node.cfg);
+        let own = Candidate { name, data_center: &cfg.data_center, cpu_cores: cfg.cpu_cores };
         let shared_state = self.node.shared_state.borrow();
-        shared_state.instances().filter(|(name, _)| position(name) < own).count() as Millis
+        let known = shared_state.instances().map(|(name, peer)| Candidate {
+            name,
+            data_center: &peer.data_center,
+            cpu_cores: peer.cpu_cores,
+        });
+        Place::find(&self.service, own, known)
     }
 
     /// Plans moves, and sends the grants and releases that are due.
@@ -585,13 +642,20 @@
         coordinator.on_owners_ended(|o| later(o).is_some_and(|u| has_moved(o, u)));
         coordinator.on_owners_restarted(|o| later(o).is_some_and(|u| !has_moved(o, u)));
         let mut started_moves = Vec::new();
-        if now >= self.planned_at + PLAN_INTERVAL_MS && self.uncertain_commit.is_none() && !settling
+        if now >= self.planned_at + PLAN_INTERVAL_MS
+            && self.uncertain_commit.is_none()
+            && !settling
+            && !self.handover.has_begun()
         {
             self.planned_at = now;
             self.traffic.decay(now);
             self.traffic.set_cold_rates(self.node.cold_rates(&self.service, now));
-            if coordinator.mergeable_count()
-                >= MIN_MERGEABLE.max(coordinator.owners().spans.len() / 5)
+            let max_spans =
+                GrantBudget::new(self.node.cfg.cpu_cores, GRANT_RENEW_INTERVAL_MS).spans;
+            let spans = coordinator.owners().spans.len();
+            let min_mergeable =
+                if spans < max_spans { MIN_MERGEABLE.max(spans / 5) } else { MIN_MERGEABLE };
+            if coordinator.mergeable_count() >= min_mergeable
                 && coordinator.moving_ranges().is_empty()
             {
                 coordinator.refence_all();
@@ -600,8 +664,14 @@
             let recently_moved: Vec<KeyRange> =
                 self.recently_moved.iter().map(|(range, _)| *range).collect();
             let (planned, moving) = (coordinator.planned_owners(), coordinator.moving_ranges());
-            let plan =
-                rebalance::plan(&planned, &moving, &recently_moved, &upstreams, &self.traffic);
+            let plan = rebalance::plan_within(
+                max_spans,
+                &planned,
+                &moving,
+                &recently_moved,
+                &upstreams,
+                &self.traffic,
+            );
             let evacuated_since = evacuated_since(&self.node, &self.service);
             let in_progress = moving.iter().filter(|range| {
                 let span = coordinator.owners().find(range.from);
@@ -708,10 +778,13 @@
         call: Option<LocalBoxFuture<'static, OrderOutcome>>,
         event: impl FnOnce(OrderOutcome) -> Event + 'static,
     ) {
-        let tx = self.tx.clone();
+        let (tx, end) = (self.tx.clone(), self.orders_end.clone());
         tokio::task::spawn_local(async move {
             let outcome = match call {
-                Some(call) => call.await,
+                Some(call) => match end.run_until_cancelled(call).await {
+                    Some(outcome) => outcome,
+                    None => return,
+                },
                 None => OrderOutcome::NotSent,
             };
             // The receiver ends only with the process.
@@ -726,23 +799,6 @@
             .map_or_else(Vec::new, |s| s.upstreams.values().cloned().collect())
     }
 
-    /// Gives the lease back, if this instance holds it, because the instance stops; signals `done` once
-    /// the store call ended.
-    fn resign(&mut self, done: oneshot::Sender<()>) {
-        self.resigned = true;
-        self.acting.set(false);
-        let Some(held) = self.lease.held_revision() else {
-            let _ = done.send(());
-            return;
-        };
-        let call = self.give_back(held);
-        tokio::task::spawn_local(async move {
-            let outcome = call.await;
-            log::info!(given_back = outcome != ChangeOutcome::Unknown; "gave the lease back");
-            let _ = done.send(());
-        });
-    }
-
     /// Gives the lease back, if this instance holds it, to one that reaches the upstreams before their
     /// grants have expired.
     fn leave_to_others(&mut self) {
@@ -754,28 +810,15 @@
             return;
         };
         log::warn!(service = &*self.service; "cut off from the upstreams, gives the lease back");
-        let call = self.give_back(held);
-        self.call_sent_at = Some(boot_millis());
-        let tx = self.tx.clone();
-        tokio::task::spawn_local(async move {
-            // The receiver ends only with the process.
-            let _ = tx.send(Event::LeaseGivenBack(call.await));
-        });
-    }
-
-    /// Stops to coordinate, and returns the call that gives the held lease back.
-    fn give_back(&mut self, held: u64) -> LocalBoxFuture<'static, ChangeOutcome> {
-        let row = self.lease.resignation_row(held);
-        let expect = vec![(self.lease_row_name(), held)];
-        let put = vec![(self.lease_row_name(), encode_row(&row))];
-        let call = (self.node.adapter.table.change)(Change { expect, put });
-        self.lease.on_lost();
-        self.forget_coordination();
-        call
+        let grants_end_ms = self.grants_end_ms();
+        self.give_back(held, grants_end_ms);
     }
 
     /// Forgets what only the holder of the lease needs.
     fn forget_coordination(&mut self) {
+        std::mem::take(&mut self.orders_end).cancel();
+        self.predecessor_grants = None;
+        self.handover = LeaseHandover::default();
         self.coordinator = None;
         self.uncertain_commit = None;
         self.published_generation = None;
--- a/src/coordinator_task/store_calls.rs
+++ b/src/coordinator_task/store_calls.rs
@@ -7,6 +7,7 @@
     coordinator::Coordinator,
     error::Error,
     gossip::{self, Message},
+    grant_budget::GrantBudget,
     keymap::KeyMap,
     lease::{self, LeaseRow},
     revision,
@@ -46,6 +47,9 @@
         if self.has_no_other_coordinator() || self.is_coordinator_silent(now) {
             self.next_call_at = now + lease::MIN_READ_INTERVAL_MS;
             self.read_row(now, self.lease_row_name());
+        } else if self.is_offer_due(now) {
+            self.offer.1 = true;
+            self.read_row(now, self.lease_row_name());
         }
     }
 
@@ -58,7 +62,7 @@
         revision::generation(coordinator.revision()) < revision::generation(held)
     }
 
-    fn read_row(&mut self, now: Millis, name: RowName) {
+    pub(super) fn read_row(&mut self, now: Millis, name: RowName) {
         self.call_sent_at = Some(now);
         // Of the two rows that are read, only that of the owners is in the followed table.
         let is_lease = !name.followed;
@@ -120,7 +124,8 @@
                 self.lease.on_written(sent, *revision);
                 self.outage = now >= sent + SLOW_CALL_MS;
                 if taken {
-                    log::info!(service = &*self.service, revision; "took the lease");
+                    let place = self.place();
+                    log::info!(service = &*self.service, revision, place:?; "took the lease");
                 }
                 let generation = Some(revision::generation(*revision));
                 if self.published_generation != generation {
@@ -187,9 +192,11 @@
     pub(super) fn on_read_failed(&mut self, now: Millis, e: &Error) {
         log::debug!(service = &*self.service; "{e}");
         self.call_sent_at = None;
+        self.offer.1 = false;
         let delay = match self.lease.held_revision() {
             Some(_) => CALL_RETRY_DELAY_MS,
-            None => lease::failed_read_delay(self.failed_reads, self.rank()),
+            None if self.resignation.is_some() => CALL_RETRY_DELAY_MS,
+            None => lease::failed_read_delay(self.failed_reads, self.place().position),
         };
         self.failed_reads += 1;
         self.next_call_at = now + delay;
@@ -204,6 +211,7 @@
             process: 0,
             write_number: 0,
             generation: revision::generation(row.revision),
+            grants_end_ms: None,
         };
         let parsed = row.value.as_ref().map(|v| decode_row(v).unwrap_or(unreadable));
         let held = self.lease.held_revision().is_some();
@@ -221,9 +229,15 @@
         } else if let Some(revision) = takeover_revision
             && !self.must_leave_lease_to_others(sent, parsed.as_ref(), revision)
         {
+            // What a row from before a restore says does not hold.
+            let given_back = parsed
+                .as_ref()
+                .filter(|r| r.holder.is_none() && r.generation == revision::generation(revision));
+            self.predecessor_grants = given_back.and_then(|r| r.grants_end_ms).map(|ms| (now, ms));
             self.write_lease_at(now, revision, None);
         } else {
             self.next_call_at = sent + self.lease.read_delay(sent);
+            self.offer_if_read();
         }
     }
 
@@ -253,7 +267,12 @@
             None => {
                 let spans = map.as_ref().map_or(0, |m| m.spans.len());
                 log::info!(service = &*self.service, revision, spans; "owners read");
-                self.coordinator = Some(self.new_coordinator(now, row, map));
+                let coordinator = self.new_coordinator(now, row, map);
+                // Counts for the first one of a lease only: later ones follow grants of this process.
+                self.coordinator = Some(match self.predecessor_grants.take() {
+                    Some((read_at, ms)) => coordinator.with_inherited_grants_end(read_at, ms),
+                    None => coordinator,
+                });
             }
             // Not committed so far; `uncertain_commit` is written again.
             Some(coordinator) if coordinator.revision() == revision => {}
@@ -291,8 +310,10 @@
             None => row.value.is_none() && revision::generation(revision) == 0,
         };
         let map = map.unwrap_or_default();
+        let budget = GrantBudget::new(self.node.cfg.cpu_cores, times.renew_interval);
         if is_certain {
-            return Coordinator::new(now, times, map, revision);
+            return Coordinator::new(now, times, map, revision)
+                .with_max_in_flight(budget.in_flight);
         }
         let shared_state = self.node.shared_state.borrow();
         let known = shared_state.owners(&self.service).map(|(known, _)| known);
@@ -303,5 +324,6 @@
             "owners are uncertain, keys are granted once all earlier grants have expired"
         );
         Coordinator::with_uncertain_owners(now, times, owners, revision)
+            .with_max_in_flight(budget.in_flight)
     }
 }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -121,6 +121,9 @@
     /// Reply to [`Message::Traffic`]: whether the sender acts as the service's coordinator.
     #[serde(rename = "Acting")]
     CoordinatorStatus { service: Arc<str>, acting: bool },
+    /// The sender, which is larger than the service's coordinator and reaches the store, offers to
+    /// take its lease over.
+    LeaseOffer { service: Arc<str> },
 }
 
 impl Message {
@@ -488,7 +491,16 @@
             vec![Message::CoordinatorStatus { service, acting }]
         }
         Message::CoordinatorStatus { service, acting } => {
-            coordinator_task::on_coordinator_status(node, &service, acting);
+            let has_ended = coordinator_task::on_coordinator_status(node, &service, acting);
+            let is_coordinator = node.shared_state.borrow().coordinator(&service) == Some(from);
+            if has_ended && is_coordinator {
+                // The others of the data centre would learn it with their next reports.
+                pass_on(node, from, Message::CoordinatorStatus { service, acting }, false);
+            }
+            Vec::new()
+        }
+        Message::LeaseOffer { service } => {
+            coordinator_task::on_lease_offer(node, &service, from);
             Vec::new()
         }
     }
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -49,6 +49,11 @@
     /// Generation of the store in which the holder expected the write to be made.
     #[serde(default)]
     pub generation: u64,
+    /// Once it was given back: for how many milliseconds from then on grants of its holder, and of
+    /// earlier ones, may last on the slowest clock. `None` if that is not known; earlier versions do
+    /// not tell it.
+    #[serde(default)]
+    pub grants_end_ms: Option<Millis>,
 }
 
 /// Returns the delay in milliseconds until a read that failed is repeated, after `failed` earlier
@@ -111,12 +116,14 @@
             process: self.process,
             write_number: self.write_number,
             generation: revision::generation(expected),
+            grants_end_ms: None,
         }
     }
 
-    /// Returns the row to write for giving the lease back, if its row has the revision `expected`.
-    pub fn resignation_row(&mut self, expected: u64) -> LeaseRow {
-        LeaseRow { holder: None, ..self.next_row(expected) }
+    /// Returns the row to write for giving the lease back, if its row has the revision `expected`;
+    /// see [`LeaseRow::grants_end_ms`].
+    pub fn resignation_row(&mut self, expected: u64, grants_end_ms: Option<Millis>) -> LeaseRow {
+        LeaseRow { holder: None, grants_end_ms, ..self.next_row(expected) }
     }
 
     /// Handles the row and its revision as read by a call sent at `sent`; returns the revision that
@@ -156,11 +163,11 @@
     }
 
     /// Returns the delay in milliseconds until the next read of the row: half of the time until the
-    /// lease may be taken over if the row does not change.
+    /// lease may be taken over if the row does not change, and all of it at the end.
     ///
     /// Answers the load of hundreds of instances that cannot hear from a live coordinator: each
     /// renewal that one of them sees puts its next read off by a second. A row that is about to be
-    /// taken over is read as often as [`MIN_READ_INTERVAL_MS`] allows.
+    /// taken over is read just when it may be.
     #[must_use]
     pub fn read_delay(&self, now: Millis) -> Millis {
         let since = match &self.state {
@@ -168,7 +175,8 @@
             _ => return MIN_READ_INTERVAL_MS,
         };
         let left = (since + TAKEOVER_WAIT_MS).saturating_sub(now);
-        MIN_READ_INTERVAL_MS.max(left / 2)
+        let is_last = left <= 2 * MIN_READ_INTERVAL_MS;
+        MIN_READ_INTERVAL_MS.max(if is_last { left } else { left / 2 })
     }
 
     /// Records that a write sent at `sent` succeeded with `revision`.
--- a/src/rebalance.rs
+++ b/src/rebalance.rs
@@ -85,12 +85,26 @@
     Owner { id: u.id.clone(), started: u.started }
 }
 
+/// Plans the owners without a limit of spans, see [`plan_within`].
+#[must_use]
+pub fn plan(
+    planned: &KeyMap,
+    moving: &[KeyRange],
+    recently_moved: &[KeyRange],
+    upstreams: &[Arc<UpstreamInfo>],
+    traffic: &TrafficStats,
+) -> Vec<Reassignment> {
+    plan_within(MAX_SPANS, planned, moving, recently_moved, upstreams, traffic)
+}
+
 /// Plans the owners of keys that have none or whose owner may not keep them, and moves for balance.
 ///
 /// `planned` holds the owners as they will be once the moves of the ranges in `moving` are
-/// committed; keys in `recently_moved` are not moved for balance.
+/// committed; keys in `recently_moved` are not moved for balance. From `max_spans` spans on, as many
+/// as the coordinator can renew, nothing is split.
 #[must_use]
-pub fn plan(
+pub fn plan_within(
+    max_spans: usize,
     planned: &KeyMap,
     moving: &[KeyRange],
     recently_moved: &[KeyRange],
@@ -111,7 +125,8 @@
     let mut spare_spans = (MAX_SPANS - RESERVED_SPANS).saturating_sub(planned.spans.len());
     for range in gaps.into_iter().chain(orphaned_ranges) {
         let before = changes.len();
-        assign_range(range, spare_spans + 1, &mut candidates, traffic, &mut changes);
+        let max_parts = if planned.spans.len() < max_spans { spare_spans + 1 } else { 1 };
+        assign_range(range, max_parts, &mut candidates, traffic, &mut changes);
         spare_spans = spare_spans.saturating_sub((changes.len() - before).saturating_sub(1));
     }
     if planned.spans.len() >= MAX_SPANS - RESERVED_SPANS {
@@ -127,7 +142,8 @@
     if changes.is_empty() {
         move_hot_keys(planned, excluded, &mut candidates, traffic, &mut changes);
     }
-    if changes.is_empty() && planned.spans.len() < MAX_RANGES_PER_UPSTREAM * candidates.len() {
+    let max_balanced = max_spans.min(MAX_RANGES_PER_UPSTREAM * candidates.len());
+    if changes.is_empty() && planned.spans.len() < max_balanced {
         balance(planned, excluded, moves_left, &mut candidates, traffic, &mut changes);
     }
     changes
