Send what changed in the owners of keys instead of whole maps

A commit changes a few of up to 900 ranges, up to 16 times a second. The coordinator sent the row whole to one instance of each data centre and to its own dependents, each relay sent it whole to its dependents, and again in the reply to each digest (every 300 ms) while the feed of the store lags.

Instances announce on a link that they understand changes, and get the spans that differ from a map that they remember (the last 8 of each service); others get whole rows as before. Digests between them tell the revisions of owners. Pushes to 16 and more instances of a data centre go out at most every 100 ms, from its relay only. Messages are encoded once for all receivers, and their bytes are counted.

--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -436,7 +436,7 @@
         let coordinator = self.node.shared_state.borrow().coordinator(&self.service).cloned();
         if let Some(name) = coordinator.filter(|n| *n != self.node.cfg.name) {
             let service = self.service.clone();
-            gossip::send(&self.node, &name, Message::Traffic { service, report });
+            gossip::send(&self.node, &name, &Message::Traffic { service, report });
         }
     }
 
--- a/src/coordinator_task/store_calls.rs
+++ b/src/coordinator_task/store_calls.rs
@@ -180,7 +180,7 @@
         let value = Some(EntryValue::Owners(Arc::new(map)));
         let entry =
             StateEntry { kind: EntryKind::Owners, key: self.service.clone(), revision, value };
-        gossip::broadcast(&self.node, &Message::Push { entries: vec![entry.clone()] });
+        gossip::broadcast_owners(&self.node, &entry);
         self.node.update_shared_state(|shared_state, now| shared_state.merge(now, [entry]));
     }
 
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -18,24 +18,29 @@
 //! `serde(rename)` keeps the names that instances of other versions send and expect.
 
 mod broadcast;
+mod frame;
 mod link;
+mod owners;
 
-pub(crate) use self::broadcast::{broadcast, resend_undelivered};
+pub(crate) use self::broadcast::{broadcast, broadcast_owners, resend_undelivered};
 
 use self::{
     broadcast::pass_on,
-    link::{read_message, write_message, write_ping},
+    frame::Frame,
+    link::{read_message, write_frame, write_ping},
+    owners::OwnerRevisions,
 };
 use crate::{
     clock::{Millis, boot_millis},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     coordinator_task,
     delivery::Deliveries,
     error::Result,
     keymap::KeyRange,
     node::Node,
     overload::OwnerShare,
-    shared_state::{Digest, EntryKind, PeerInfo, StateEntry},
+    owner_delta::{OwnersChange, PushPace},
+    shared_state::{Digest, EntryKind, EntryValue, PeerInfo, StateEntry},
     suspects::Notice,
     traffic::TrafficReport,
 };
@@ -113,9 +118,36 @@
     /// Reply to [`Message::Traffic`]: whether the sender acts as the service's coordinator.
     #[serde(rename = "Acting")]
     CoordinatorStatus { service: Arc<str>, acting: bool },
+    /// The first message of both instances after the greeting: the sender understands the following
+    /// kinds. Instances of earlier versions skip all of these.
+    TakesOwnerChanges,
+    /// Owners that have just changed, or reply to a digest.
+    OwnersChanged(OwnersChange),
+    /// A digest with the revisions of the owners that the sender knows; one that `is_reply` is not
+    /// replied to with another digest.
+    OwnersDigest { digest: Digest, owners: OwnerRevisions, is_reply: bool },
 }
 
 impl Message {
+    /// Returns the name of the kind for metrics.
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Hello { .. } => "hello",
+            Self::Digest(_) => "digest",
+            Self::StoreStatus { .. } => "store_status",
+            Self::Delta { .. } => "delta",
+            Self::Push { .. } => "push",
+            Self::Moving(_) => "moving",
+            Self::Shares { .. } => "shares",
+            Self::Suspects { .. } => "suspects",
+            Self::Traffic { .. } => "traffic",
+            Self::CoordinatorStatus { .. } => "coordinator_status",
+            Self::TakesOwnerChanges => "takes_owner_changes",
+            Self::OwnersChanged(_) => "owners_changed",
+            Self::OwnersDigest { .. } => "owners_digest",
+        }
+    }
+
     /// Returns the message as it is passed on to instances that do not pass it on.
     fn into_relayed(mut self) -> Self {
         if let Self::Shares { relayed, .. } | Self::Suspects { relayed, .. } = &mut self {
@@ -128,7 +160,7 @@
 /// A message that waits for a link, and the number by which the receiver is to confirm it.
 #[derive(Debug)]
 struct Outgoing {
-    message: Message,
+    frame: Frame,
     copy: Option<u64>,
 }
 
@@ -144,6 +176,12 @@
     suggested_relay: RefCell<Option<Arc<str>>>,
     /// Whether this instance has told its dependents that it follows the store.
     told_healthy: Cell<bool>,
+    /// Instances that have announced on the open link that they understand changes of owners.
+    change_takers: RefCell<HashSet<Arc<str>>>,
+    /// When the owners of each service were pushed to the dependents.
+    owner_paces: RefCell<HashMap<Arc<str>, PushPace>>,
+    /// When this instance last asked for owners after a change that did not apply.
+    owners_asked_at: Cell<Millis>,
 }
 
 /// Returns the relay of this instance, if any: the first instance of the same data centre by name
@@ -175,8 +213,13 @@
 
 /// Sends changed entries at once to the instances whose relay may be this one.
 pub(crate) fn push_changes(node: &Rc<Node>, changes: &[StateEntry]) {
-    if !changes.is_empty() {
-        send_to_dependents(node, &Message::Push { entries: changes.to_vec() });
+    let are_owners = |e: &&StateEntry| matches!(e.value, Some(EntryValue::Owners(_)));
+    let entries: Vec<StateEntry> = changes.iter().filter(|e| !are_owners(e)).cloned().collect();
+    if !entries.is_empty() {
+        send_to_dependents(node, &Message::Push { entries });
+    }
+    for owners in changes.iter().filter(are_owners) {
+        owners::push(node, &owners.key);
     }
 }
 
@@ -198,18 +241,35 @@
 /// Sends a message over open links to the instances whose relay may be this one: those of the same
 /// data centre that come after it by name.
 fn send_to_dependents(node: &Rc<Node>, message: &Message) {
+    let mut frame: Option<Frame> = None;
+    for_each_dependent(node, |name, tx| {
+        if frame.is_none() {
+            frame = Frame::new(message);
+        }
+        if let Some(frame) = frame.clone() {
+            send_frame(name, tx, Outgoing { frame, copy: None });
+        }
+    });
+}
+
+/// Calls `f` with the open link to each instance whose relay may be this one.
+fn for_each_dependent(node: &Rc<Node>, mut f: impl FnMut(&Arc<str>, &mpsc::Sender<Outgoing>)) {
     let shared_state = node.shared_state.borrow();
     let same_data_center = |p: &PeerInfo| p.data_center == node.cfg.data_center;
     let open = node.gossip_links.open.borrow();
     let dependents =
         shared_state.instances().filter(|(n, p)| same_data_center(p) && **n > node.cfg.name);
     for (name, tx) in dependents.filter_map(|(n, _)| open.get_key_value(n)) {
-        if tx.try_send(Outgoing { message: message.clone(), copy: None }).is_err() {
-            log::debug!(
-                peer = &**name;
-                "link is busy, message dropped; changes follow after the next digest"
-            );
-        }
+        f(name, tx);
+    }
+}
+
+fn send_frame(name: &Arc<str>, tx: &mpsc::Sender<Outgoing>, outgoing: Outgoing) {
+    if tx.try_send(outgoing).is_err() {
+        log::debug!(
+            peer = &**name;
+            "link is busy, message dropped; changes follow after the next digest"
+        );
     }
 }
 
@@ -219,12 +279,11 @@
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     for round in 0u64.. {
         tick.tick().await;
-        let digest = node.shared_state.borrow().digest();
         match relay(&node).or_else(|| node.gossip_links.suggested_relay.take()) {
-            Some(name) => send(&node, &name, Message::Digest(digest)),
+            Some(name) => send(&node, &name, &owners::digest_for(&node, &name, false)),
             // The relay is the first by name, so those before this instance get a digest in turn.
             None => match choose_partner(&node, round, true) {
-                Some(name) => send(&node, &name, Message::Digest(digest)),
+                Some(name) => send(&node, &name, &owners::digest_for(&node, &name, false)),
                 None if node.routing_config().is_none() => send_digest_to_seed(&node, round),
                 None => {}
             },
@@ -234,7 +293,7 @@
             && relay(&node).is_none()
             && let Some(name) = choose_partner(&node, round / ROUNDS_PER_REMOTE_DIGEST, false)
         {
-            send(&node, &name, Message::Digest(digest));
+            send(&node, &name, &owners::digest_for(&node, &name, false));
         }
     }
 }
@@ -278,14 +337,18 @@
     };
     let name: Arc<str> = others[n].to_string().into();
     let digest = node.shared_state.borrow().digest();
-    send_to(node, &name, others[n], Outgoing { message: Message::Digest(digest), copy: None });
+    if let Some(frame) = Frame::new(&Message::Digest(digest)) {
+        send_to(node, &name, others[n], Outgoing { frame, copy: None });
+    }
 }
 
 /// Sends a message to an instance, over an open link or a new one.
-pub(crate) fn send(node: &Rc<Node>, name: &Arc<str>, message: Message) {
+pub(crate) fn send(node: &Rc<Node>, name: &Arc<str>, message: &Message) {
     let address = node.shared_state.borrow().instance(name).map(|p| p.address);
-    if let Some(address) = address {
-        send_to(node, name, address, Outgoing { message, copy: None });
+    if let Some(address) = address
+        && let Some(frame) = Frame::new(message)
+    {
+        send_to(node, name, address, Outgoing { frame, copy: None });
     }
 }
 
@@ -296,7 +359,7 @@
         let (node, name) = (node.clone(), name.clone());
         let own_tx = tx.clone();
         tokio::task::spawn_local(async move {
-            match link::connect(&node, address).await {
+            match link::connect(&node, address, is_in_same_data_center(&node, &name)).await {
                 Ok(link) => {
                     if let Err(e) = exchange_messages(&node, &name, link, address, rx).await {
                         log::debug!(peer = &*name; "{e}");
@@ -324,6 +387,7 @@
     let mut open = node.gossip_links.open.borrow_mut();
     if open.get(name).is_some_and(|t| t.same_channel(tx)) {
         open.remove(name);
+        node.gossip_links.set_takes_changes(name, false);
     }
 }
 
@@ -340,6 +404,11 @@
     forget_link(&node, &name, &tx);
 }
 
+fn is_in_same_data_center(node: &Node, name: &Arc<str>) -> bool {
+    let shared_state = node.shared_state.borrow();
+    shared_state.instance(name).is_some_and(|p| p.data_center == node.cfg.data_center)
+}
+
 async fn exchange_messages(
     node: &Rc<Node>,
     name: &Arc<str>,
@@ -349,6 +418,12 @@
 ) -> Result<()> {
     let mut skipped = false;
     let on_confirmed = |id: u64| node.gossip_links.deliveries.borrow_mut().on_confirmed(name, id);
+    let same_data_center = || is_in_same_data_center(node, name);
+    // The instance may have been replaced by one of an earlier version.
+    node.gossip_links.set_takes_changes(name, false);
+    if let Some(frame) = Frame::new(&Message::TakesOwnerChanges) {
+        write_frame(&mut link, peer, &frame, same_data_center()).await?;
+    }
     loop {
         let replies = tokio::select! {
             message = read_message(&mut link, peer, &mut skipped, on_confirmed) => match message? {
@@ -359,8 +434,8 @@
                 None => return Ok(()),
             },
             outgoing = rx.recv() => match outgoing {
-                Some(Outgoing { message, copy }) => {
-                    write_message(&mut link, peer, &message).await?;
+                Some(Outgoing { frame, copy }) => {
+                    write_frame(&mut link, peer, &frame, same_data_center()).await?;
                     if let Some(id) = copy {
                         write_ping(&mut link, peer, id).await?;
                     }
@@ -371,8 +446,8 @@
             () = tokio::time::sleep(IDLE_TIMEOUT) => return Ok(()),
             () = node.stop.cancelled() => return Ok(()),
         };
-        for reply in replies {
-            write_message(&mut link, peer, &reply).await?;
+        for frame in replies.iter().filter_map(Frame::new) {
+            write_frame(&mut link, peer, &frame, same_data_center()).await?;
         }
     }
 }
@@ -381,21 +456,15 @@
 fn handle_message(node: &Rc<Node>, from: &Arc<str>, message: Message) -> Vec<Message> {
     match message {
         Message::Hello { .. } => Vec::new(),
-        Message::Digest(theirs) => {
-            let shared_state = node.shared_state.borrow();
-            let digest = shared_state.digest();
-            let entries = shared_state.newer_than(&theirs);
-            let is_behind = digest.iter().zip(&theirs).any(|(mine, theirs)| mine < theirs);
-            // No delta is sent if the sender lacks only revisions that changed no entry.
-            let delta = (!entries.is_empty()).then_some(Message::Delta { digest, entries });
-            // Requests what this instance lacks, even if those revisions may have changed no entry.
-            let request = is_behind.then_some(Message::Digest(digest));
-            let status = store_status(node);
-            let notices = node.suspects.borrow_mut().next_notices(boot_millis());
-            let suspects =
-                (!notices.is_empty()).then_some(Message::Suspects { notices, relayed: true });
-            delta.into_iter().chain(request).chain([status]).chain(suspects).collect()
+        Message::Digest(theirs) => reply_to_digest(node, from, &theirs, None, false),
+        Message::OwnersDigest { digest, owners, is_reply } => {
+            reply_to_digest(node, from, &digest, Some(&owners), is_reply)
         }
+        Message::TakesOwnerChanges => {
+            node.gossip_links.set_takes_changes(from, true);
+            Vec::new()
+        }
+        Message::OwnersChanged(change) => owners::on_owners_changed(node, from, change),
         Message::StoreStatus { name, healthy, relay } => {
             let same_data_center = |p: &PeerInfo| p.data_center == node.cfg.data_center;
             if !node.shared_state.borrow().instance(&name).is_some_and(same_data_center) {
@@ -425,7 +494,7 @@
             });
             // The dependents have got the changes.
             if changed && let Some(relay) = relay(node).filter(|r| r != from) {
-                send(node, &relay, Message::Push { entries });
+                send(node, &relay, &Message::Push { entries });
             }
             Vec::new()
         }
@@ -459,3 +528,23 @@
         }
     }
 }
+
+/// Returns the replies to a digest: what its sender lacks, and a digest if this instance lacks anything.
+fn reply_to_digest(
+    node: &Rc<Node>,
+    from: &Arc<str>,
+    theirs: &Digest,
+    owners: Option<&OwnerRevisions>,
+    is_reply: bool,
+) -> Vec<Message> {
+    let shared_state = node.shared_state.borrow();
+    let missing = owners::missing_entries(&shared_state, theirs, owners);
+    let is_behind = shared_state.digest().iter().zip(theirs).any(|(mine, theirs)| mine < theirs);
+    // Requests what this instance lacks, even if those revisions may have changed no entry. Two that
+    // each lack such revisions would go on requesting them from each other.
+    let request = (is_behind && !is_reply).then(|| owners::digest_for(node, from, true));
+    let status = store_status(node);
+    let notices = node.suspects.borrow_mut().next_notices(boot_millis());
+    let suspects = (!notices.is_empty()).then_some(Message::Suspects { notices, relayed: true });
+    missing.into_iter().chain(request).chain([status]).chain(suspects).collect()
+}
--- a/src/gossip/broadcast.rs
+++ b/src/gossip/broadcast.rs
@@ -1,25 +1,60 @@
 //! Sends messages for all instances to one of each data centre, which passes them on there.
 
-use super::{Message, Outgoing, relay, send, send_to, send_to_dependents, store_follower};
-use crate::{clock::boot_millis, collections::HashSet, delivery::MessageCopy, node::Node};
+use super::{
+    Message, Outgoing, frame::Frame, owners, relay, send, send_to, send_to_dependents,
+    store_follower,
+};
+use crate::{
+    clock::boot_millis, collections::HashSet, delivery::MessageCopy, node::Node,
+    shared_state::StateEntry,
+};
 use std::{rc::Rc, sync::Arc};
 
 /// Sends a message at once to an instance of each data centre, which passes it on to the others there.
 pub(crate) fn broadcast(node: &Rc<Node>, message: &Message) {
-    let data_centers: HashSet<Arc<str>> = {
-        let shared_state = node.shared_state.borrow();
-        shared_state.instances().map(|(_, p)| p.data_center.clone()).collect()
-    };
+    if !is_first_here(node) {
+        return broadcast_to(node, message, None, data_centers(node));
+    }
+    send_to_dependents(node, &message.clone().into_relayed());
+    let others = data_centers(node).into_iter().filter(|d| *d != node.cfg.data_center);
+    broadcast_to(node, message, None, others);
+}
+
+/// Sends committed owners at once to an instance of each data centre, before this instance merges
+/// them into its own shared state, which sends them to its dependents.
+pub(crate) fn broadcast_owners(node: &Rc<Node>, entry: &StateEntry) {
+    let change = owners::change_before(node, entry);
+    let message = Message::Push { entries: vec![entry.clone()] };
+    let is_first_here = is_first_here(node);
+    let receivers =
+        data_centers(node).into_iter().filter(|d| !is_first_here || *d != node.cfg.data_center);
+    broadcast_to(node, &message, change.as_ref(), receivers);
+}
+
+/// Returns whether this instance is the one that sends to the others of its data centre.
+fn is_first_here(node: &Node) -> bool {
+    node.follows_store() && relay(node).is_none()
+}
+
+fn data_centers(node: &Node) -> HashSet<Arc<str>> {
+    let shared_state = node.shared_state.borrow();
+    shared_state.instances().map(|(_, p)| p.data_center.clone()).collect()
+}
+
+/// Sends a message to an instance of each data centre: `change` instead of it to those that
+/// understand changes of owners.
+fn broadcast_to(
+    node: &Rc<Node>,
+    message: &Message,
+    change: Option<&Frame>,
+    data_centers: impl IntoIterator<Item = Arc<str>>,
+) {
     for data_center in data_centers {
-        if data_center == node.cfg.data_center && node.follows_store() && relay(node).is_none() {
-            send_to_dependents(node, &message.clone().into_relayed());
-            continue;
-        }
         let names = others_in(node, &data_center);
         let mut deliveries = node.gossip_links.deliveries.borrow_mut();
         let copies = deliveries.begin(boot_millis(), data_center, message.clone(), names);
         drop(deliveries);
-        send_copies(node, message, copies);
+        send_copies(node, message, change, copies);
     }
 }
 
@@ -33,7 +68,12 @@
         let data_center = &*failed.data_center;
         log::info!(data_center, copies = copies.len(); "message was not confirmed, sent to others");
         metrics::counter!("mulberryspur_unconfirmed_messages_total").increment(1);
-        send_copies(node, &failed.message, copies);
+        send_copies(node, &failed.message, None, copies);
+        if failed.data_center == node.cfg.data_center
+            && let Message::Push { entries } = &failed.message
+        {
+            owners::push_unconfirmed(node, entries);
+        }
     }
 }
 
@@ -46,12 +86,23 @@
     others.map(|(name, _)| name.clone()).collect()
 }
 
-fn send_copies(node: &Rc<Node>, message: &Message, copies: Vec<MessageCopy>) {
+fn send_copies(
+    node: &Rc<Node>,
+    message: &Message,
+    change: Option<&Frame>,
+    copies: Vec<MessageCopy>,
+) {
+    let mut whole: Option<Frame> = None;
     for MessageCopy { id, instance } in copies {
         let address = node.shared_state.borrow().instance(&instance).map(|p| p.address);
-        if let Some(address) = address {
-            let outgoing = Outgoing { message: message.clone(), copy: Some(id) };
-            send_to(node, &instance, address, outgoing);
+        let change = change.filter(|_| node.gossip_links.takes_changes(&instance));
+        if change.is_none() && whole.is_none() {
+            whole = Frame::new(message);
+        }
+        if let Some(address) = address
+            && let Some(frame) = change.or(whole.as_ref()).cloned()
+        {
+            send_to(node, &instance, address, Outgoing { frame, copy: Some(id) });
         }
     }
 }
@@ -72,7 +123,7 @@
     let later = || store_follower(node).filter(|_| is_dropped_if_known && has_lost_store);
     match relay(node).or_else(later) {
         Some(name) if name == *from => {}
-        Some(name) => send(node, &name, message),
+        Some(name) => send(node, &name, &message),
         None => send_to_dependents(node, &message.into_relayed()),
     }
 }
--- a/src/gossip/link.rs
+++ b/src/gossip/link.rs
@@ -1,6 +1,6 @@
 //! Links between instances: WebSocket connections that carry messages in CBOR.
 
-use super::Message;
+use super::{Message, frame::Frame};
 use crate::{
     error::{Cause, Error, Result},
     node::Node,
@@ -34,6 +34,7 @@
 pub(super) async fn connect(
     node: &Node,
     address: SocketAddr,
+    same_data_center: bool,
 ) -> Result<WebSocketStream<TcpStream>> {
     let opening = async {
         let stream =
@@ -45,7 +46,9 @@
     let timed_out = |e| interrupted("open link", address, &e);
     let (mut link, _) =
         tokio::time::timeout(CONNECT_TIMEOUT, opening).await.map_err(timed_out)??;
-    write_message(&mut link, address, &Message::Hello { name: node.cfg.name.clone() }).await?;
+    if let Some(hello) = Frame::new(&Message::Hello { name: node.cfg.name.clone() }) {
+        write_frame(&mut link, address, &hello, same_data_center).await?;
+    }
     Ok(link)
 }
 
@@ -70,15 +73,14 @@
 }
 
 /// Sends a message.
-pub(super) async fn write_message(
+pub(super) async fn write_frame(
     link: &mut WebSocketStream<impl AsyncRead + AsyncWrite + Unpin>,
     peer: SocketAddr,
-    message: &Message,
+    frame: &Frame,
+    same_data_center: bool,
 ) -> Result<()> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(message, &mut bytes)
-        .map_err(|e| interrupted("encode message", peer, &e))?;
-    write_frame(link, peer, tungstenite::Message::binary(bytes)).await
+    frame.count_sent(same_data_center);
+    write(link, peer, tungstenite::Message::Binary(frame.bytes.clone())).await
 }
 
 /// Sends a ping, to which the other end replies once it has read what was sent before.
@@ -88,10 +90,10 @@
     id: u64,
 ) -> Result<()> {
     let payload = id.to_be_bytes().to_vec();
-    write_frame(link, peer, tungstenite::Message::Ping(payload.into())).await
+    write(link, peer, tungstenite::Message::Ping(payload.into())).await
 }
 
-async fn write_frame(
+async fn write(
     link: &mut WebSocketStream<impl AsyncRead + AsyncWrite + Unpin>,
     peer: SocketAddr,
     frame: tungstenite::Message,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,7 @@
 //! - [`coordinator`] decides which owner is granted which keys ([`controller`]).
 //! - [`coordinator_task`] runs a coordinator (`cell_driver`).
 //! - [`rebalance`] plans the owners of keys ([`placement`]) by the [`traffic`].
+//! - [`owner_delta`] is what changes in the map of owners, [`owner_sync`] what instances send of it.
 //! - [`overload`] limits the requests for owners that are asked for more than they can serve.
 //! - [`rate_limit`] keeps the limits that upstreams name.
 //! - [`revision`] orders the store's changes, also after it was restored from a copy.
@@ -126,6 +127,8 @@
 pub mod node;
 pub mod outcome;
 pub mod overload;
+pub mod owner_delta;
+pub mod owner_sync;
 mod path_probe;
 mod peer;
 pub mod peer_choice;
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -20,6 +20,7 @@
     clock::Millis,
     collections::HashMap,
     keymap::KeyMap,
+    owner_delta::RecentOwners,
     revision,
     routing_config::{RoutingConfig, UpstreamInfo},
 };
@@ -129,6 +130,7 @@
     store_away_at: Option<Millis>,
     /// The configuration in force.
     routing_config: Option<Arc<RoutingConfig>>,
+    recent_owners: RecentOwners,
 }
 
 fn digest_index(kind: EntryKind) -> usize {
@@ -191,6 +193,9 @@
         if entry.kind == EntryKind::Upstream {
             self.track_lapse(now, old.cloned(), entry);
         }
+        if let Some(EntryValue::Owners(map)) = &entry.value {
+            self.recent_owners.record(&entry.key, entry.revision, map);
+        }
         self.unpublished.push(entry.clone());
         self.entries.insert(entry_key, entry.clone());
         true
@@ -392,6 +397,19 @@
         }
     }
 
+    /// Returns the revisions of the owners of each service's keys.
+    #[must_use]
+    pub fn owner_revisions(&self) -> Vec<(Arc<str>, u64)> {
+        let of_owners = self.entries.values().filter(|e| e.kind == EntryKind::Owners);
+        of_owners.map(|e| (e.key.clone(), e.revision)).collect()
+    }
+
+    /// Returns the last maps of owners, of which the latest is in force.
+    #[must_use]
+    pub fn recent_owners(&self) -> &RecentOwners {
+        &self.recent_owners
+    }
+
     /// Returns the known instances by name.
     pub fn instances(&self) -> impl Iterator<Item = (&Arc<str>, &PeerInfo)> {
         self.entries.values().filter_map(|e| match &e.value {
