--- a/src/owner_delta.rs
+++ b/src/owner_delta.rs
@@ -175,7 +175,8 @@
 #[derive(Debug, Default)]
 pub struct PushPace {
     pushed_at: Option<Millis>,
-    is_pending: bool,
+    /// When the push is due that waits.
+    due_at: Option<Millis>,
     /// Revision that the dependents were sent last, by this instance or another one.
     pub sent_revision: Option<u64>,
 }
@@ -184,10 +185,11 @@
     /// Decides about a change.
     pub fn on_change(&mut self, now: Millis, dependents: usize) -> PushDecision {
         let next_at = self.pushed_at.map_or(0, |at| at + PUSH_INTERVAL_MS);
-        if self.is_pending {
+        // A push that is long overdue had nothing to send, as the owners were deleted.
+        if self.due_at.is_some_and(|due| now < due + PUSH_INTERVAL_MS) {
             PushDecision::Pending
         } else if dependents >= MANY_DEPENDENTS && now < next_at {
-            self.is_pending = true;
+            self.due_at = Some(next_at);
             PushDecision::At(next_at)
         } else {
             PushDecision::Now
@@ -196,7 +198,7 @@
 
     /// Records a push, or that another instance pushes this revision.
     pub fn on_pushed(&mut self, now: Millis, revision: u64) {
-        (self.pushed_at, self.is_pending) = (Some(now), false);
+        (self.pushed_at, self.due_at) = (Some(now), None);
         self.sent_revision = Some(revision);
     }
 }
--- a/tests/owner_delta.rs
+++ b/tests/owner_delta.rs
@@ -286,6 +286,10 @@
     assert_eq!(pushes[0], 10_020);
     assert!(pushes.windows(2).all(|w| w[1] - w[0] >= PUSH_INTERVAL_MS), "{pushes:?}");
     assert!(pushes.len() >= 18, "{pushes:?}");
+    // Owners that were deleted are not pushed when that is due; later ones are.
+    let decision = pace.on_change(pushes[pushes.len() - 1] + 1, MANY_DEPENDENTS);
+    assert!(matches!(decision, PushDecision::At(_) | PushDecision::Pending), "{decision:?}");
+    assert_eq!(pace.on_change(20_000, MANY_DEPENDENTS), PushDecision::Now);
     let mut pace = PushPace::default();
     for now in [10_000, 10_060, 10_120] {
         assert_eq!(pace.on_change(now, MANY_DEPENDENTS - 1), PushDecision::Now);
