Push entries of upstreams only when more than their revision changes

Upstreams write their rows again and again. Each rewrite was pushed to all dependents at once, and was in the reply to their next digest again. It is left out of the push now, unless the upstream leaves: that may come from a response, and instances with the same revision would not take it over otherwise (upstream_that_says_that_it_leaves_is_used_again).

--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -196,7 +196,17 @@
         if let Some(EntryValue::Owners(map)) = &entry.value {
             self.recent_owners.record(&entry.key, entry.revision, map);
         }
-        self.unpublished.push(entry.clone());
+        // Upstreams write their entries again and again; what differs in nothing but the revision comes
+        // with the replies to digests. An upstream that leaves may do so by what it said in a response,
+        // which instances with the same revision do not know.
+        let is_rewritten = entry.kind == EntryKind::Upstream
+            && !is_leaving(entry)
+            && self.entries.get(&entry_key).is_some_and(|old| {
+                old.value.is_some() && old.value == entry.value && !is_restored(old, entry)
+            });
+        if !is_rewritten {
+            self.unpublished.push(entry.clone());
+        }
         self.entries.insert(entry_key, entry.clone());
         true
     }
--- a/tests/shared_state.rs
+++ b/tests/shared_state.rs
@@ -67,6 +67,25 @@
     assert_eq!(upstream_ids(&state, 0), ["u"]);
 }
 
+/// Guards against entries of all upstreams that are pushed to all instances with each rewrite: these
+/// come with the replies to digests.
+#[test]
+fn rewritten_upstream_is_not_passed_on_at_once() {
+    let mut state = SharedState::default();
+    let mut passed_on = |entry: StateEntry| {
+        let changed = state.merge(0, [entry]);
+        (changed, state.take_changes().len())
+    };
+    assert_eq!(passed_on(upstream("u", 3, false)), (true, 1));
+    assert_eq!(passed_on(upstream("u", 4, false)), (true, 0));
+    assert_eq!(passed_on(upstream("u", 5, true)), (true, 1));
+    assert_eq!(passed_on(upstream("u", 6, true)), (true, 1));
+    assert_eq!(passed_on(deleted("u", 7)), (true, 1));
+    assert_eq!(passed_on(upstream("u", 8, false)), (true, 1));
+    assert_eq!(passed_on(upstream("u", 9, false)), (true, 0));
+    assert_eq!(state.newer_than(&[0, 8, 0, 0, 0]).len(), 1);
+}
+
 #[test]
 fn snapshot_removes_missing_older_entries() {
     let mut state = SharedState::default();
