--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -23,6 +23,7 @@
     collections::{HashMap, HashSet},
     evacuation::Evacuations,
     keymap::KeyMap,
+    owner_delta::RecentOwners,
     revision,
     routing_config::{RoutingConfig, UpstreamInfo},
 };
@@ -137,6 +138,7 @@
     routing_config: Option<Arc<RoutingConfig>>,
     /// The data centres under evacuation.
     evacuations: Evacuations,
+    recent_owners: RecentOwners,
 }
 
 fn digest_index(kind: EntryKind) -> usize {
@@ -199,7 +201,20 @@
         if entry.kind == EntryKind::Upstream {
             self.track_lapse(now, old.cloned(), entry);
         }
-        self.unpublished.push(entry.clone());
+        if let Some(EntryValue::Owners(map)) = &entry.value {
+            self.recent_owners.record(&entry.key, entry.revision, map);
+        }
+        // Upstreams write their entries again and again; what differs in nothing but the revision comes
+        // with the replies to digests. An upstream that leaves may do so by what it said in a response,
+        // which instances with the same revision do not know.
+        let is_rewritten = entry.kind == EntryKind::Upstream
+            && !is_leaving(entry)
+            && self.entries.get(&entry_key).is_some_and(|old| {
+                old.value.is_some() && old.value == entry.value && !is_restored(old, entry)
+            });
+        if !is_rewritten {
+            self.unpublished.push(entry.clone());
+        }
         self.entries.insert(entry_key, entry.clone());
         true
     }
@@ -441,6 +456,19 @@
         }
     }
 
+    /// Returns the revisions of the owners of each service's keys.
+    #[must_use]
+    pub fn owner_revisions(&self) -> Vec<(Arc<str>, u64)> {
+        let of_owners = self.entries.values().filter(|e| e.kind == EntryKind::Owners);
+        of_owners.map(|e| (e.key.clone(), e.revision)).collect()
+    }
+
+    /// Returns the last maps of owners, of which the latest is in force.
+    #[must_use]
+    pub fn recent_owners(&self) -> &RecentOwners {
+        &self.recent_owners
+    }
+
     /// Returns the known instances by name.
     pub fn instances(&self) -> impl Iterator<Item = (&Arc<str>, &PeerInfo)> {
         self.entries.values().filter_map(|e| match &e.value {
