Count upstreams as cold after an evacuation, keep the bound of cold owners strict

The end of an evacuation marks the upstreams of the data centre as possibly cold before any request is sent to them.

--- a/src/node.rs
+++ b/src/node.rs
@@ -486,16 +486,6 @@
         !new_ranges.is_empty()
     }
 
-    /// Marks the upstreams of a data centre that returns to service as possibly cold.
-    pub fn note_possibly_cold(&self, data_center: &str) {
-        let now = boot_millis();
-        for (service, state) in self.services.borrow_mut().iter_mut() {
-            state.cold.note_possibly_cold(now, data_center);
-            state.dispatcher.set_cold(now, &state.cold);
-            state.cold.log_changes(now, service);
-        }
-    }
-
     /// Returns the cold upstreams of a service, with the requests per second that they tolerate.
     pub(crate) fn cold_rates(&self, service: &str, now: Millis) -> HashMap<Arc<str>, f64> {
         let services = self.services.borrow();
@@ -710,6 +700,8 @@
             let listed =
                 state.upstreams.values().map(|u| (u, shared_state.upstream_revision(&u.id)));
             state.cold.update(now, ColdLimits::new(spec, overshoot, slack), listing, listed);
+            // Upstreams of a data centre may be cold when its evacuation ends.
+            state.cold.note_possibly_cold(|name| shared_state.evacuations().ended_at(name));
             state.dispatcher.set_cold(now, &state.cold);
             state.cold.log_changes(now, &spec.name);
             state.remove_ended_pauses(now);
--- a/src/warmup.rs
+++ b/src/warmup.rs
@@ -289,14 +289,17 @@
         self.may_change = true;
     }
 
-    /// Marks the known upstreams of a data centre as cold for the service's warm-up time, unless
-    /// their entries report otherwise later: it returns to service.
-    pub fn note_possibly_cold(&mut self, now: Millis, data_center: &str) {
+    /// Marks the known upstreams of data centres that return to service, each at the time that `since`
+    /// gives, as cold for the service's warm-up time, unless
+    /// their entries report otherwise later.
+    pub fn note_possibly_cold(&mut self, since: impl Fn(&str) -> Option<Millis>) {
         let Some(limits) = self.limits else {
             return;
         };
-        for k in self.known.values_mut().filter(|k| *k.data_center == *data_center) {
-            k.cold_until = k.cold_until.max(now + limits.warmup_ms);
+        for k in self.known.values_mut() {
+            if let Some(since) = since(&k.data_center) {
+                k.cold_until = k.cold_until.max(since + limits.warmup_ms);
+            }
         }
         self.may_change = true;
     }
--- a/tests/warmup.rs
+++ b/tests/warmup.rs
@@ -379,11 +379,11 @@
     }
 }
 
-/// Shares bound a random number of requests: the chance that it exceeds the bound is small, over
-/// 10,000 seconds of one cold owner.
+/// Guards against more requests in one second than a cold owner tolerates, over 10,000 seconds of one
+/// cold owner. Shares bound a random number of requests, so the bound may be exceeded.
 #[test]
 #[expect(clippy::cast_precision_loss, reason = "small numbers")]
-fn cold_owners_hardly_ever_exceed_the_bound() {
+fn requests_for_cold_owners_keep_the_bound() {
     let s = Scenario {
         seed: 10,
         instances: 85,
@@ -401,15 +401,14 @@
     let sent: usize = arrivals.iter().map(Vec::len).sum();
     let used = sent as f64 / (PER_SECOND * 10_000.0);
     println!("exceeded at {exceeded} owners, most {:?}, used {used:.3}", most.iter().max());
-    assert!(exceeded <= 1, "exceeded at {exceeded} of 100 owners within 100 s");
-    assert!(most.iter().all(|n| *n <= BOUND + 2), "{most:?}");
     assert!(used >= 0.8, "{used:.3} of the permitted rate is used");
+    assert_eq!(exceeded, 0, "{most:?}");
 }
 
-/// A burst of all traffic is not known to the coordinator at once, and for a moment the share is too
-/// large; the bound is exceeded in few seconds, and by little.
+/// Guards against the same in a burst of all traffic, which the coordinator does not know at once, so
+/// that the share is too large for a moment.
 #[test]
-fn burst_of_all_traffic_hardly_exceeds_the_bound() {
+fn burst_for_cold_owners_keeps_the_bound() {
     let s = Scenario {
         seed: 11,
         instances: 85,
@@ -425,9 +424,7 @@
     let most: Vec<usize> = arrivals.iter().map(|a| most_in_second(a)).collect();
     let exceeded = most.iter().filter(|n| **n > BOUND).count();
     println!("bursts: exceeded at {exceeded} owners, most {:?}", most.iter().max());
-    // 5 bursts at each of 100 owners.
-    assert!(exceeded <= 10, "exceeded at {exceeded} owners");
-    assert!(most.iter().all(|n| *n <= BOUND + 4), "{most:?}");
+    assert_eq!(exceeded, 0, "{most:?}");
 }
 
 fn listing(complete: bool) -> Listing {
@@ -517,7 +514,7 @@
 #[test]
 fn upstreams_of_a_returning_data_center_are_cold() {
     let mut cold = listed(&[(info(0, 0), 1), (info(1, 0), 1)]);
-    cold.note_possibly_cold(START + 10, "a");
+    cold.note_possibly_cold(|name| (name == "a").then_some(START + 10));
     assert_eq!(cold.cold_until(START + 10, "u0"), Some(START + 10 + WARMUP_MS));
     assert_eq!(cold.cold_until(START + 10, "u1"), None);
 }
