--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -233,7 +233,7 @@
 /// The plan for a third of all ranges split each of them, and the map outgrew the row of the store.
 #[test]
 fn evacuation_splits_ranges_beyond_the_limit_of_the_map() {
-    let (mut map, upstreams, traffic) = (owners(), upstreams_without_a(), traffic(6_000));
+    let (mut map, upstreams, traffic) = (owners(), upstreams_without_a(), traffic(12_000));
     for c in plan(&map, &[], &[], &upstreams, &traffic) {
         let (range, owner) = (c.range, c.to);
         map.assign(Span { range, owner, fence: 2, handover: None });
