--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -9,12 +9,14 @@
 //! Points in time are readings of the boot clock in milliseconds.
 
 use crate::{
+    admission_level::AdmissionLevel,
     clock::Millis,
     collections::HashMap,
     keymap::Key,
     overload::{AdmittedShares, OwnerShare},
     rate_limit::{InstancePosition, LimitNotice},
     reachability::Reachability,
+    upstream_choice::{self, Candidate},
     upstream_state::{BASE_EJECTION_MS, Upstream},
 };
 use std::sync::Arc;
@@ -45,6 +47,8 @@
 const UNREACHABLE_EJECTIONS: u32 = 2;
 /// Weight of one request in the moving average of the rejection rate.
 const REJECTION_RATE_WEIGHT: f64 = 0.05;
+/// Weight of one request in the moving average of the time left until the objective.
+const OBJECTIVE_WEIGHT: f64 = 0.05;
 /// Least share of requests that is assumed to be served, which bounds `Retry-After`.
 const MIN_SERVED_SHARE: f64 = 0.15;
 
@@ -154,6 +158,11 @@
     refused_keys: HashMap<(Key, u64), Millis>,
     /// Shares of the requests that overloaded owners can serve.
     shares: AdmittedShares,
+    /// Share of the requests for any upstream that is admitted.
+    admission: AdmissionLevel,
+    /// Moving average of the time in milliseconds that requests have left until their latency
+    /// objective when they are sent.
+    objective_left: f64,
     reachability: Reachability,
     /// Decides this instance's part of the limits that upstreams name.
     position: InstancePosition,
@@ -242,6 +251,12 @@
         {
             return Ok(self.reject(now, &req, Rejection::Overload));
         }
+        if req.destination == Destination::Any
+            && !req.admitted
+            && !self.admission.admits(req.priority)
+        {
+            return Ok(self.reject_for_capacity(now, &req));
+        }
         let ahead = self.requests_ahead(now, &req);
         if ahead == 0
             && let Some(id) = self.choose_upstream(now, &req)
@@ -288,6 +303,9 @@
             u.in_flight = u.in_flight.saturating_sub(1);
             u.record_completion(now, completion, load);
         }
+        if let (Completion::Responded(took_ms), Some(l)) = (completion, load) {
+            self.admission.on_response(now, l, took_ms, self.objective_left);
+        }
         match completion {
             Completion::Responded(_) | Completion::Refused | Completion::NotOwner => {
                 self.reachability.on_response();
@@ -330,6 +348,12 @@
         }
     }
 
+    /// Returns how the share of requests for any upstream that is admitted has changed since the last
+    /// call: the one before and the present one.
+    pub fn take_admission_change(&mut self) -> Option<(f64, f64)> {
+        self.admission.take_change()
+    }
+
     /// Returns whether this instance is cut off from the upstreams.
     #[must_use]
     pub fn is_cut_off(&self) -> bool {
@@ -423,6 +447,9 @@
     /// Counts a request as in flight at an upstream and returns the decision to send it there.
     fn assign(&mut self, now: Millis, id: Arc<str>, req: &RequestSpec) -> Decision {
         self.update_rejection_rate(&req.destination, false);
+        #[expect(clippy::cast_precision_loss, reason = "short spans")]
+        let left = req.objective_at.saturating_sub(now) as f64;
+        self.objective_left += OBJECTIVE_WEIGHT * (left - self.objective_left);
         if let Some(u) = self.upstreams.get_mut(&id) {
             u.begin_request(now);
         }
@@ -600,12 +627,12 @@
                     u.expected_response_time(now, req.large_response)
                         * rand::random_range(0.97..1.03)
                 };
-                candidates
-                    .iter()
-                    .filter(|u| u.can_take(now))
-                    .map(|u| (score(u), &u.spec.id))
-                    .min_by(|a, b| a.0.total_cmp(&b.0))
-                    .map(|(_, id)| id.clone())
+                let with_capacity = candidates.iter().filter(|u| u.can_take(now)).map(|u| {
+                    let (recently_seen, same_data_center) =
+                        (u.is_recently_seen(now), u.spec.same_data_center);
+                    Candidate { id: **u, recently_seen, same_data_center }
+                });
+                upstream_choice::choose(with_capacity, score).map(|u| u.spec.id.clone())
             }
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,6 +58,8 @@
 //!   [`pipeline`], which splits bytes into requests.
 //! - `request_handler` serves one request (`proxy`).
 //! - [`dispatch`] queues requests and chooses their upstreams ([`admission`], [`load_balancing`]).
+//! - [`admission_level`] decides which share of the requests is admitted while upstreams are saturated.
+//! - `upstream_choice` chooses among upstreams that this instance has not heard of lately.
 //! - `upstream_state` is what an instance knows of one upstream.
 //! - `forward` sends a request once (`attempt`).
 //! - [`reachability`] tells whether an instance is cut off from upstreams; [`peer_choice`] then chooses
@@ -85,6 +87,7 @@
 pub mod adapter;
 pub mod admin;
 pub mod admission;
+pub mod admission_level;
 mod attempt;
 pub mod audit_log;
 mod body;
@@ -161,6 +164,7 @@
 pub mod traffic;
 mod transport;
 mod trial;
+mod upstream_choice;
 mod upstream_state;
 mod upstreams;
 pub mod wire;
--- a/src/node.rs
+++ b/src/node.rs
@@ -223,6 +223,17 @@
             .set(f64::from(u8::from(cut_off)));
     }
 
+    /// Logs when this instance begins or ceases to reject requests because the upstreams are saturated.
+    pub fn note_admission(&mut self, service: &str) {
+        let Some((before, level)) = self.dispatcher.take_admission_change() else {
+            return;
+        };
+        metrics::gauge!("mulberryspur_admission_level", "service" => service.to_owned()).set(level);
+        if before >= 1.0 || level >= 1.0 {
+            log::info!(service, before, level; "share of admitted requests changed");
+        }
+    }
+
     /// Registers a waiting request; returns the receiver of the decision on it.
     pub fn add_waiter(&mut self, ticket: Ticket, key: Option<Key>) -> oneshot::Receiver<Decision> {
         let (tx, rx) = oneshot::channel();
--- a/src/request_handler/queueing.rs
+++ b/src/request_handler/queueing.rs
@@ -119,6 +119,7 @@
         if let Some(state) = self.node.services.borrow_mut().get_mut(&self.service) {
             state.dispatcher.on_completion(now, &upstream, completion, load);
             state.note_cut(&self.service);
+            state.note_admission(&self.service);
             state.poll(now);
         }
     }
--- a/src/upstream_state.rs
+++ b/src/upstream_state.rs
@@ -28,6 +28,9 @@
 const FAILURE_RATE_WEIGHT: f64 = 0.12;
 /// Time constant in milliseconds with which a reported load decays as it ages.
 const REPORT_DECAY_MS: f64 = 600.0;
+/// Time in milliseconds for which a reported load counts as recent: until it has decayed to a
+/// fifth.
+const RECENT_REPORT_MS: Millis = 1_000;
 /// Assumed response time in milliseconds of an upstream without any response yet.
 const DEFAULT_RESPONSE_TIME_MS: f64 = 120.0;
 /// Time in milliseconds added to the expected response time of upstreams in other data centres.
@@ -205,6 +208,12 @@
         now < self.ejected_until
     }
 
+    /// Returns whether its load is known from a recent response or from requests in flight.
+    pub fn is_recently_seen(&self, now: Millis) -> bool {
+        let is_recent = |at: Millis| now < at + RECENT_REPORT_MS;
+        self.in_flight > 0 || self.last_report.is_some_and(|(.., at)| is_recent(at))
+    }
+
     /// Returns the expected load, with the requests of other instances.
     ///
     /// The other instances' part of the last report decays with its age; this instance's requests
