Tell the loss of many upstreams from a cut of the own network

Cause: two upstreams in a row that accepted no connection made an instance conclude that it was cut off. Each request for a lost owner was also forwarded to up to four instances.

Change: evidence is whether new connections are accepted, which is known after a round trip.

--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -408,10 +408,10 @@
         };
         match outcome {
             OrderOutcome::NotSent if state.upstreams.contains_key(owner) => {
-                state.dispatcher.on_order_not_sent(owner);
+                state.dispatcher.on_order_not_sent(boot_millis(), owner);
             }
             OrderOutcome::NotSent | OrderOutcome::Unknown => {}
-            _ => state.dispatcher.on_order_answered(),
+            _ => state.dispatcher.on_order_answered(boot_millis()),
         }
         state.note_cut(&self.service);
     }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -12,6 +12,7 @@
     clock::Millis,
     collections::HashMap,
     keymap::Key,
+    other_paths::OtherPaths,
     overload::{AdmittedShares, OwnerShare},
     rate_limit::{InstancePosition, LimitNotice},
     reachability::Reachability,
@@ -38,9 +39,6 @@
 const UNAVAILABLE_RETRY_AFTER_MS: f64 = 600.0;
 /// `Retry-After` in milliseconds, before jitter, where the owner is lost.
 const OWNER_LOST_RETRY_AFTER_MS: f64 = 1_200.0;
-/// Time in milliseconds for which requests for an owner are not forwarded once other instances could
-/// not reach it either.
-const UNREACHABLE_FOR_OTHERS_MS: Millis = 1_000;
 /// Number of ejections in a row after which no request waits for the owner of its key.
 const UNREACHABLE_EJECTIONS: u32 = 2;
 /// Weight of one request in the moving average of the rejection rate.
@@ -188,6 +186,8 @@
             };
             self.upstreams.insert(id, upstream);
         }
+        let usable = self.upstreams.values().filter(|u| !u.spec.leaving).count();
+        self.reachability.set_upstreams(usable);
         // Removed upstreams with requests in flight stay, at least until the next call.
         let in_use = old.into_iter().filter(|(_, u)| u.in_flight > 0);
         let removed = in_use.map(|(id, mut u)| {
@@ -231,7 +231,7 @@
     /// Returns a ticket if the request has to wait until [`Dispatcher::poll`] returns it.
     pub fn submit(&mut self, now: Millis, req: RequestSpec) -> Result<Decision, Ticket> {
         if req.forwardable && self.lacks_path(now, &req) {
-            return Ok(Decision::Forward);
+            return Ok(self.forward(now, &req));
         }
         if let Some(reason) = self.rejection_reason(now, &req) {
             return Ok(self.reject(now, &req, reason));
@@ -290,9 +290,9 @@
         }
         match completion {
             Completion::Responded(_) | Completion::Refused | Completion::NotOwner => {
-                self.reachability.on_response();
+                self.reachability.on_response(now);
             }
-            Completion::Unreachable => self.reachability.on_unreachable(id),
+            Completion::Unreachable => self.reachability.on_unreachable(now, id),
             Completion::Failed | Completion::Inconclusive => {}
         }
     }
@@ -302,17 +302,25 @@
         if let Some(u) = self.upstreams.get_mut(id) {
             u.eject(now);
         }
-        self.reachability.on_unreachable(id);
+        self.reachability.on_unreachable(now, id);
+    }
+
+    /// Records that upstream `id` has accepted a connection for a request.
+    pub fn on_connected(&mut self, id: &Arc<str>) {
+        if let Some(u) = self.upstreams.get_mut(id) {
+            u.other_paths = OtherPaths::default();
+        }
+        self.reachability.on_connected(id);
     }
 
     /// Records that an upstream has answered an order.
-    pub fn on_order_answered(&mut self) {
-        self.reachability.on_response();
+    pub fn on_order_answered(&mut self, now: Millis) {
+        self.reachability.on_response(now);
     }
 
     /// Records that no connection could be made to upstream `id` for an order.
-    pub fn on_order_not_sent(&mut self, id: &Arc<str>) {
-        self.reachability.on_unreachable(id);
+    pub fn on_order_not_sent(&mut self, now: Millis, id: &Arc<str>) {
+        self.reachability.on_unreachable(now, id);
     }
 
     /// Records that upstream `id` accepts connections, as seen outside of requests.
@@ -320,13 +328,20 @@
         if let Some(u) = self.upstreams.get_mut(id) {
             (u.ejections, u.ejected_until) = (0, 0);
         }
-        self.reachability.on_response();
+        self.on_connected(id);
     }
 
     /// Records that other instances do not reach upstream `id` either.
     pub fn on_unreachable_for_others(&mut self, now: Millis, id: &Arc<str>) {
         if let Some(u) = self.upstreams.get_mut(id) {
-            u.unreachable_for_others_until = now + UNREACHABLE_FOR_OTHERS_MS;
+            u.other_paths.on_refused(now);
+        }
+    }
+
+    /// Records that a request for owner `id` was forwarded, and whether another instance has served it.
+    pub fn on_forwarded(&mut self, now: Millis, id: &Arc<str>, served: bool) {
+        if let Some(u) = self.upstreams.get_mut(id) {
+            if served { u.other_paths.on_served(now) } else { u.other_paths.on_inconclusive() }
         }
     }
 
@@ -348,7 +363,7 @@
         match &req.destination {
             Destination::Owner(id, _) => {
                 let owner = self.upstreams.get(id).filter(|u| u.is_ejected(now));
-                self.is_cut_off() || owner.is_some_and(|u| now >= u.unreachable_for_others_until)
+                self.is_cut_off() || owner.is_some_and(|u| u.other_paths.may_ask(now))
             }
             Destination::Any => {
                 let mut usable = self.upstreams.values().filter(|u| !u.spec.leaving).peekable();
@@ -358,6 +373,17 @@
         }
     }
 
+    /// Decides to forward a request. Others for its owner wait until the result is known.
+    fn forward(&mut self, now: Millis, req: &RequestSpec) -> Decision {
+        if !self.is_cut_off()
+            && let Destination::Owner(id, _) = &req.destination
+            && let Some(u) = self.upstreams.get_mut(id)
+        {
+            u.other_paths.on_asked(now);
+        }
+        Decision::Forward
+    }
+
     /// Records that the upstream that owns a key under `fence`, by the committed owners, refused
     /// it: it has not got the grant yet, or holds it no longer.
     pub fn on_refused_key(&mut self, now: Millis, key: Key, fence: u64) {
@@ -373,7 +399,7 @@
         let (mut on_time, mut late) = (Vec::new(), Vec::new());
         for w in waiting {
             if w.req.forwardable && self.lacks_path(now, &w.req) {
-                decisions.push((w.ticket, Decision::Forward));
+                decisions.push((w.ticket, self.forward(now, &w.req)));
             } else if let Some(reason) = self.rejection_reason(now, &w.req) {
                 decisions.push((w.ticket, self.reject(now, &w.req, reason)));
             } else if now >= wait_deadline(&w.req) {
@@ -485,6 +511,9 @@
             }
             Destination::Owner(id, _) => {
                 let owner = self.upstreams.get(id).filter(|u| u.is_ejected(now))?;
+                if req.forwardable && owner.other_paths.is_asked(now) && now < wait_deadline(req) {
+                    return None;
+                }
                 // A request waits for an owner that has just become unreachable until half of the
                 // shortest ejection has passed since its arrival.
                 let has_waited =
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -223,6 +223,12 @@
             );
         }
     };
+    if conn.is_new()
+        && let Some(state) = node.services.borrow_mut().get_mut(&upstream.service)
+    {
+        state.dispatcher.on_connected(&upstream.id);
+        state.note_cut(&upstream.service);
+    }
     let started = Instant::now();
     let time_left = deadlines.upstream_time(boot_millis());
     let mut req = build_request(node, head, time_left, body.take());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -124,6 +124,7 @@
 pub mod logging;
 pub mod membership;
 pub mod node;
+pub mod other_paths;
 pub mod outcome;
 pub mod overload;
 mod path_probe;
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -87,6 +87,7 @@
     host: Arc<Host>,
     tx: SendRequest<Body>,
     probe: SocketProbe,
+    is_new: bool,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -140,11 +141,12 @@
         let permits = host.permits.clone();
         let permit = permits.acquire_owned().await.map_err(|e| connect_error(addr, &e))?;
         let reused = take(&host);
+        let is_new = reused.is_none();
         let (tx, probe) = match reused {
             Some(idle) => (idle.tx, idle.probe),
             None => connect(addr, &host.options).await?,
         };
-        Ok(PooledConnection { host, tx, probe, _permit: permit })
+        Ok(PooledConnection { host, tx, probe, is_new, _permit: permit })
     }
 
     /// Forgets the servers for which `keep` is false, and closes their idle connections.
@@ -188,6 +190,12 @@
 }
 
 impl PooledConnection {
+    /// Returns whether the connection was opened for this use.
+    #[must_use]
+    pub fn is_new(&self) -> bool {
+        self.is_new
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
--- a/src/request_handler/forwarding.rs
+++ b/src/request_handler/forwarding.rs
@@ -21,6 +21,9 @@
 
 /// Maximum number of other instances that a request is forwarded to.
 const MAX_FORWARDS: usize = 4;
+/// Number of instances that do not reach the owner of a request's key either after which no other is
+/// asked: the second one is in another data centre.
+const MAX_OWNER_REFUSALS: usize = 2;
 
 /// Has a suspected request tried at the instance that tries it, one copy at a time; returns the response
 /// of another instance. Without one, this instance may try it if it has a trial, or it must be decided
@@ -37,7 +40,7 @@
         let next = |cx: &RequestContext, tried: &[Arc<str>]| {
             peer_forward::next_in_order(node, &cx.service, &order, tried)
         };
-        if let Forwarded::Done(result) = forward(node, cx, identity, body, next).await {
+        if let Forwarded::Done { result, .. } = forward(node, cx, identity, body, next).await {
             return result.map(Some);
         }
     }
@@ -83,11 +86,17 @@
 
 /// The result of forwarding a request.
 enum Forwarded {
-    Done(Result<Response<Body>, LocalResponse>),
+    /// `is_upstreams` tells whether an upstream's response came.
+    Done { result: Result<Response<Body>, LocalResponse>, is_upstreams: bool },
     /// No instance has served it; if `all_lack_owner`, they do not reach the owner of its key.
-    NotServed {
-        all_lack_owner: bool,
-    },
+    NotServed { all_lack_owner: bool },
+}
+
+impl Forwarded {
+    /// The result that this instance or the other one has made itself.
+    fn own(result: Result<Response<Body>, LocalResponse>) -> Self {
+        Self::Done { result, is_upstreams: false }
+    }
 }
 
 /// Forwards a request to other instances until one has served it; `None` if none can.
@@ -99,18 +108,29 @@
 ) -> Option<Result<Response<Body>, LocalResponse>> {
     let next =
         |cx: &RequestContext, tried: &[Arc<str>]| peer_forward::choose(node, &cx.service, tried);
-    let all_lack_owner = match forward(node, cx, identity, body, next).await {
-        Forwarded::Done(result) => return Some(result),
-        Forwarded::NotServed { all_lack_owner } => all_lack_owner,
-    };
-    cx.forwarding = Forwarding::Failed;
-    if all_lack_owner
-        && let Some(state) = node.services.borrow_mut().get_mut(&cx.service)
+    let forwarded = forward(node, cx, identity, body, next).await;
+    if let Some(state) = node.services.borrow_mut().get_mut(&cx.service)
         && let Destination::Owner(owner, _) = state.destination(cx.key)
     {
-        state.dispatcher.on_unreachable_for_others(boot_millis(), &owner);
+        let now = boot_millis();
+        match &forwarded {
+            Forwarded::NotServed { all_lack_owner: true } => {
+                state.dispatcher.on_unreachable_for_others(now, &owner);
+            }
+            Forwarded::NotServed { .. } => state.dispatcher.on_forwarded(now, &owner, false),
+            Forwarded::Done { is_upstreams, .. } => {
+                state.dispatcher.on_forwarded(now, &owner, *is_upstreams);
+            }
+        }
+        state.poll(now);
+    }
+    match forwarded {
+        Forwarded::Done { result, .. } => Some(result),
+        Forwarded::NotServed { .. } => {
+            cx.forwarding = Forwarding::Failed;
+            None
+        }
     }
-    None
 }
 
 /// Forwards a request to the instances that `next` returns, given those that were tried, until one has
@@ -123,7 +143,7 @@
     next: impl Fn(&RequestContext, &[Arc<str>]) -> Option<(Arc<str>, SocketAddr)>,
 ) -> Forwarded {
     let mut tried: Vec<Arc<str>> = Vec::new();
-    let mut all_lack_owner = true;
+    let (mut all_lack_owner, mut owner_refusals) = (true, 0);
     while tried.len() < MAX_FORWARDS {
         let now = boot_millis();
         if now + MIN_TIME_FOR_RETRY_MS >= cx.deadlines.upstream {
@@ -147,14 +167,15 @@
         let (now, mut paths) = (boot_millis(), node.peer_paths.borrow_mut());
         let Ok(result) = result else {
             let local = LocalResponse::new(StatusCode::GATEWAY_TIMEOUT, "timeout at an instance");
-            return Forwarded::Done(Err(local));
+            return Forwarded::own(Err(local));
         };
         cx.is_sent = false;
+        let mut lacks_owner = false;
         let (why, outcome) = match result {
             ForwardResult::Response(res) => {
                 paths.on_served(now, &cx.service, &peer);
                 count_forward(cx, "served");
-                return Forwarded::Done(Ok(res));
+                return Forwarded::Done { result: Ok(res), is_upstreams: true };
             }
             ForwardResult::OwnResponse(res) => {
                 count_forward(cx, "rejected");
@@ -162,7 +183,7 @@
                 let may_have_run =
                     cx.may_have_run && res.status() == StatusCode::SERVICE_UNAVAILABLE;
                 let local = || LocalResponse::new(StatusCode::BAD_GATEWAY, "upstream broke off");
-                return Forwarded::Done(if may_have_run { Err(local()) } else { Ok(res) });
+                return Forwarded::own(if may_have_run { Err(local()) } else { Ok(res) });
             }
             ForwardResult::NotServed(reason) => {
                 match reason {
@@ -170,7 +191,8 @@
                     CUT_OFF => paths.on_no_path(now, &cx.service, &peer),
                     _ => paths.on_unreachable(now, &cx.service, &peer),
                 }
-                all_lack_owner &= reason == OWNER_UNREACHABLE;
+                lacks_owner = reason == OWNER_UNREACHABLE;
+                all_lack_owner &= lacks_owner;
                 (reason.to_owned(), "not served")
             }
             ForwardResult::Unknown(why) => {
@@ -185,7 +207,11 @@
         tried.push(peer);
         if outcome == "unknown" && !may_repeat_forward(node, cx, body) {
             let local = LocalResponse::new(StatusCode::BAD_GATEWAY, "instance broke off");
-            return Forwarded::Done(Err(local));
+            return Forwarded::own(Err(local));
+        }
+        owner_refusals += usize::from(lacks_owner);
+        if owner_refusals >= MAX_OWNER_REFUSALS {
+            break;
         }
     }
     Forwarded::NotServed { all_lack_owner: all_lack_owner && !tried.is_empty() }
--- a/src/upstream_state.rs
+++ b/src/upstream_state.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     clock::Millis,
+    other_paths::OtherPaths,
     rate_limit::{InstancePosition, LimitNotice, RateLimit},
 };
 use std::sync::Arc;
@@ -117,8 +118,8 @@
     pub rate_limit: Option<RateLimit>,
     /// Until when it wants no requests from this instance.
     pub rests_until: Millis,
-    /// Until when requests are not forwarded because of it, as others do not reach it either.
-    pub unreachable_for_others_until: Millis,
+    /// Whether other instances reach it.
+    pub other_paths: OtherPaths,
 }
 
 impl Upstream {
@@ -140,7 +141,7 @@
             window_cut_at: 0,
             rate_limit: None,
             rests_until: 0,
-            unreachable_for_others_until: 0,
+            other_paths: OtherPaths::default(),
         }
     }
 
--- a/tests/reachability.rs
+++ b/tests/reachability.rs
@@ -56,9 +56,9 @@
     let mut reachability = Reachability::default();
     for (id, responds) in outcomes {
         if *responds {
-            reachability.on_response();
+            reachability.on_response(0);
         } else {
-            reachability.on_unreachable(&Arc::from(*id));
+            reachability.on_unreachable(0, &Arc::from(*id));
         }
     }
     reachability.is_cut_off()
