Do not send a refused request to the same owner under the same fence

Cause: a request that its owner had refused as full was sent there again 6 ms later, and one that got 421 after 160 ms, and up to three times, though the owner had lost its grant.

Change: refusals are kept by owner and fence, and by key (key_refusals). A key waits 120 ms for the grant of a just committed owner and is tried once more. If the owner has run a request under the fence before, the key waits 300 ms for a later one. A second refusal of the key, or of any key of that owner and fence 100 ms after the first one, rejects all requests under the fence as no-owner for 1.2 s. The fence is that under which the request was sent, not the one known when the response came. A full owner gets nothing until one of its requests has probably ended; what cannot wait for that is rejected at once. What is told after an attempt has moved to request_handler/feedback.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -11,6 +11,7 @@
 use crate::{
     clock::Millis,
     collections::HashMap,
+    key_refusals::{GrantState, KeyRefusals},
     keymap::Key,
     other_paths::OtherPaths,
     overload::{AdmittedShares, OwnerShare},
@@ -147,9 +148,8 @@
     waiting: Vec<WaitingRequest>,
     /// Moving average of the share of rejected requests among those for any upstream.
     rejection_rate: f64,
-    /// Keys with the fence under which their owner refused them, and until when none of their
-    /// requests is sent.
-    refused_keys: HashMap<(Key, u64), Millis>,
+    /// Keys that their owners refused.
+    refusals: KeyRefusals,
     /// Shares of the requests that overloaded owners can serve.
     shares: AdmittedShares,
     reachability: Reachability,
@@ -158,10 +158,6 @@
     next_ticket: Ticket,
 }
 
-/// Time in milliseconds for which no request for a key is sent to the owner that refused the key,
-/// unless the key gets a new fence.
-const KEY_REFUSAL_MS: Millis = 120;
-
 impl Dispatcher {
     /// Tells which of all instances this one is; applies from the next list of upstreams on.
     pub fn set_position(&mut self, position: InstancePosition) {
@@ -251,7 +247,8 @@
         let wait = self.expected_wait(now, &req, ahead);
         #[expect(clippy::cast_precision_loss, reason = "short spans")]
         let max_wait = req.objective_at.saturating_sub(now) as f64 * MAX_WAIT_SHARE;
-        if (ahead > 0 || self.is_rate_limited(now, &req)) && wait > max_wait {
+        let is_busy = ahead > 0 || self.is_rate_limited(now, &req) || self.is_full(now, &req);
+        if is_busy && wait > max_wait {
             return Ok(self.reject_for_capacity(now, &req));
         }
         let ticket = self.next_ticket;
@@ -385,10 +382,23 @@
     }
 
     /// Records that the upstream that owns a key under `fence`, by the committed owners, refused
-    /// it: it has not got the grant yet, or holds it no longer.
-    pub fn on_refused_key(&mut self, now: Millis, key: Key, fence: u64) {
-        self.refused_keys.retain(|_, until| *until > now);
-        self.refused_keys.insert((key, fence), now + KEY_REFUSAL_MS);
+    /// it: it has not got the grant yet, or holds it no longer. Returns whether it had lost it.
+    pub fn on_refused_key(&mut self, now: Millis, owner: &Arc<str>, key: Key, fence: u64) -> bool {
+        self.refusals.on_refused(now, owner, fence, key)
+    }
+
+    /// Records that the owner of a key has run a request under `fence`.
+    pub fn on_accepted_key(&mut self, now: Millis, owner: &Arc<str>, key: Key, fence: u64) {
+        self.refusals.on_accepted(now, owner, fence, key);
+    }
+
+    /// Returns whether the owner of a key holds the grant, as far as is known.
+    #[must_use]
+    pub fn grant_state(&self, now: Millis, key: Option<Key>, dest: &Destination) -> GrantState {
+        match (key, dest) {
+            (Some(key), Destination::Owner(id, fence)) => self.refusals.state(now, id, *fence, key),
+            _ => GrantState::Held,
+        }
     }
 
     /// Decides which waiting requests are now sent or rejected, and returns these decisions; those
@@ -509,6 +519,11 @@
             {
                 Some(Rejection::UpstreamRest)
             }
+            Destination::Owner(..)
+                if self.grant_state(now, req.key, &req.destination) == GrantState::Lost =>
+            {
+                Some(Rejection::NoOwner)
+            }
             Destination::Owner(id, _) => {
                 let owner = self.upstreams.get(id).filter(|u| u.is_ejected(now))?;
                 if req.forwardable && owner.other_paths.is_asked(now) && now < wait_deadline(req) {
@@ -530,10 +545,7 @@
 
     /// Returns whether the owner of the request's key has recently refused that key.
     fn is_key_refused(&self, now: Millis, req: &RequestSpec) -> bool {
-        let (Some(key), Destination::Owner(_, fence)) = (req.key, &req.destination) else {
-            return false;
-        };
-        self.refused_keys.get(&(key, *fence)).is_some_and(|until| now < *until)
+        self.grant_state(now, req.key, &req.destination) != GrantState::Held
     }
 
     /// Returns the time in milliseconds until the first upstream that could take the request wants
@@ -565,6 +577,14 @@
         }
     }
 
+    /// Returns whether the owner of the request's key was full just now.
+    fn is_full(&self, now: Millis, req: &RequestSpec) -> bool {
+        let Destination::Owner(id, _) = &req.destination else {
+            return false;
+        };
+        self.upstreams.get(id).is_some_and(|u| now < u.full_until)
+    }
+
     /// Returns how many waiting requests with the same destination go before `req`: those of the
     /// same or a higher priority.
     ///
@@ -588,7 +608,11 @@
         match &req.destination {
             Destination::Owner(id, _) => {
                 let owner = self.upstreams.get(id);
-                owner.map_or(MAX_RETRY_AFTER_MS, |u| u.expected_wait(now, position))
+                #[expect(clippy::cast_precision_loss, reason = "short spans")]
+                let wait = |u: &Upstream| {
+                    u.expected_wait(now, position).max(u.full_until.saturating_sub(now) as f64)
+                };
+                owner.map_or(MAX_RETRY_AFTER_MS, wait)
             }
             Destination::Any => {
                 let available = self
@@ -609,6 +633,7 @@
             Destination::Owner(id, _) => {
                 let u = self.upstreams.get(id)?;
                 let available = !u.spec.leaving && !u.is_ejected(now) && u.can_take(now);
+                let available = available && now >= u.full_until;
                 let available = available && !self.is_key_refused(now, req);
                 available.then(|| id.clone())
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -117,6 +117,7 @@
 pub mod idempotency;
 mod instance;
 pub mod jsonc;
+pub mod key_refusals;
 pub mod keymap;
 pub mod lease;
 pub mod listeners;
--- a/src/request_handler.rs
+++ b/src/request_handler.rs
@@ -1,11 +1,13 @@
 //! Serves one request of a caller in `mulberryspur-platform`: finds its rule and service, waits for
 //! an upstream, retries, and returns the response. The counterpart in `mulberryd` is `proxy`.
 
+mod feedback;
 mod forwarding;
 mod queueing;
 mod stopping;
 
 use self::{
+    feedback::{owner_fence, record_feedback, record_leaving},
     forwarding::{forward_to_others, rejection_reason, try_alone},
     queueing::{InFlightGuard, admit},
     stopping::reject_if_stopping,
@@ -13,10 +15,11 @@
 use crate::{
     body::RequestBody,
     clock::{Millis, boot_millis},
-    dispatch::{Completion, Decision, Destination, LoadReport, Rejection},
+    dispatch::{Completion, Decision, Rejection},
     ended_upstreams::{self, BrokenRequest},
     forward::{self, AttemptResult, Deadlines},
     http::{self, Body},
+    key_refusals::GrantState,
     keymap::Key,
     node::Node,
     peer_forward::REASON_HEADER,
@@ -301,6 +304,8 @@
     let timeout = cx.deadlines.response_time(now);
     // Requests without a key go to an upstream once.
     let is_repeated = cx.key.is_some() && cx.attempts > 0;
+    // Owners may change until the response is there.
+    let fence = owner_fence(node, cx, &upstream_id);
     let attempt = forward::send(node, identity.head, body, &upstream, cx.deadlines, is_repeated);
     cx.is_sent = true;
     let sent_at = now;
@@ -309,7 +314,7 @@
         return Err(LocalResponse::new(StatusCode::GATEWAY_TIMEOUT, "timeout at the upstream"));
     };
     cx.is_sent = false;
-    record_feedback(node, cx, &upstream_id, &report);
+    record_feedback(node, cx, &upstream_id, fence, &report);
     if report.feedback.leaving {
         record_leaving(node, cx, &upstream);
     }
@@ -447,69 +452,15 @@
         return false;
     }
     let mut services = node.services.borrow_mut();
-    services.get_mut(&cx.service).is_some_and(|s| s.budget.try_spend())
-}
-
-/// Tells the dispatcher and the traffic counts what an attempt at the owner of a key shows.
-///
-/// After a refusal, other requests for the key wait a moment (`KEY_REFUSAL_MS`), or until the key
-/// has a new fence. A response time is counted only if no request waits at the upstream, as it
-/// would include that wait.
-fn record_feedback(
-    node: &Node,
-    cx: &RequestContext,
-    upstream_id: &Arc<str>,
-    report: &forward::AttemptReport,
-) {
-    if report.completion == Completion::Unreachable {
-        let service = cx.service.to_string();
-        metrics::counter!("mulberryspur_failed_connections_total", "service" => service)
-            .increment(1);
-    }
-    let mut services = node.services.borrow_mut();
     let Some(state) = services.get_mut(&cx.service) else {
-        return;
+        return false;
     };
-    let feedback = &report.feedback;
-    if state.dispatcher.on_limit_notice(boot_millis(), upstream_id, feedback.limit) {
-        let per_second = feedback.limit.per_second();
-        log::info!(upstream = &**upstream_id, per_second:?; "limit of an upstream changed");
-    }
-    if let Some(rest_ms) = feedback.rest_ms {
-        state.dispatcher.on_rest(boot_millis(), upstream_id, rest_ms);
-        log::info!(upstream = &**upstream_id, rest_ms; "upstream wants no requests for a while");
-    }
-    if cx.key.is_some() {
-        state.traffic.on_limit_notice(upstream_id, feedback.limit);
-    }
-    if let (true, Some(load)) = (cx.key.is_some(), feedback.load) {
-        state.traffic.on_queue(upstream_id, load.waiting);
-    }
-    match (report.completion, feedback.load) {
-        (Completion::NotOwner, _) => {
-            if let (Destination::Owner(owner, fence), Some(key)) =
-                (state.destination(cx.key), cx.key)
-                && owner == *upstream_id
-            {
-                state.dispatcher.on_refused_key(boot_millis(), key, fence);
-            }
-        }
-        (Completion::Responded(took_ms), Some(LoadReport { waiting: 0, .. }))
-            if cx.key.is_some() =>
-        {
-            state.traffic.on_response(upstream_id, took_ms);
-        }
-        _ => {}
-    }
-}
-
-/// Records that an upstream has said that it leaves, and tells the coordinator if it owns keys.
-fn record_leaving(node: &Rc<Node>, cx: &RequestContext, upstream: &UpstreamInfo) {
-    if let (Some(state), true) = (node.services.borrow_mut().get_mut(&cx.service), cx.key.is_some())
-    {
-        state.traffic.on_leaving(&upstream.id, upstream.started);
+    let destination = state.destination(cx.key);
+    if state.dispatcher.grant_state(now, cx.key, &destination) == GrantState::Lost {
+        // It is rejected where it would wait, without another attempt.
+        return true;
     }
-    node.on_upstream_leaving(&upstream.id, upstream.started);
+    state.budget.try_spend()
 }
 
 fn upstream_info(
--- a/src/upstream_state.rs
+++ b/src/upstream_state.rs
@@ -46,6 +46,12 @@
 /// Time in milliseconds for which it is avoided after each such failure.
 const FAILURE_AVOIDANCE_MS: Millis = 500;
 
+/// Shortest and longest time in milliseconds for which no request is sent to an owner of keys that was
+/// full.
+const FULL_PAUSE_RANGE_MS: (f64, f64) = (20.0, 800.0);
+/// Number of refusals in a row from which this time does not double any more.
+const MAX_PAUSE_DOUBLINGS: u32 = 3;
+
 /// An upstream as currently known.
 #[derive(Debug, Clone)]
 pub struct UpstreamSpec {
@@ -74,6 +80,14 @@
     pub concurrency: u32,
 }
 
+impl LoadReport {
+    /// Returns whether another request would have to wait.
+    #[must_use]
+    pub fn is_full(self) -> bool {
+        self.waiting > 0 || self.running >= self.concurrency
+    }
+}
+
 /// How an attempt at an upstream ended, as far as it matters for load balancing.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Completion {
@@ -118,6 +132,10 @@
     pub rate_limit: Option<RateLimit>,
     /// Until when it wants no requests from this instance.
     pub rests_until: Millis,
+    /// Until when requests for its keys wait, as it was full.
+    pub full_until: Millis,
+    /// Refusals as full since its last response.
+    pub refusals_in_a_row: u32,
     /// Whether other instances reach it.
     pub other_paths: OtherPaths,
 }
@@ -141,6 +159,8 @@
             window_cut_at: 0,
             rate_limit: None,
             rests_until: 0,
+            full_until: 0,
+            refusals_in_a_row: 0,
             other_paths: OtherPaths::default(),
         }
     }
@@ -260,9 +280,15 @@
                 self.response_time += RESPONSE_TIME_WEIGHT * (took_ms - self.response_time);
                 self.ejections = 0;
                 self.failures_in_a_row = 0;
+                (self.full_until, self.refusals_in_a_row) = (0, 0);
                 0.0
             }
-            Completion::Refused => 1.0,
+            Completion::Refused => {
+                if load.is_none_or(LoadReport::is_full) {
+                    self.pause(now);
+                }
+                1.0
+            }
             Completion::Failed => {
                 self.failures_in_a_row += 1;
                 if self.failures_in_a_row >= MAX_FAILURES_IN_A_ROW {
@@ -280,13 +306,25 @@
         self.adjust_window(now, completion, load);
     }
 
+    /// Makes requests for its keys wait until one that it runs is likely to have ended. All instances
+    /// wait for the same places, so that the time doubles while it refuses.
+    fn pause(&mut self, now: Millis) {
+        let (min, max) = FULL_PAUSE_RANGE_MS;
+        let one_ends = self.response_time / f64::from(self.spec.concurrency.max(1));
+        let factor = f64::from(1_u32 << self.refusals_in_a_row.min(MAX_PAUSE_DOUBLINGS));
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "positive")]
+        let pause_ms = (one_ends * factor).clamp(min, max) as Millis;
+        self.refusals_in_a_row += 1;
+        self.full_until = now + pause_ms;
+    }
+
     /// Adjusts the window to the load: additive increase while the upstream's queue is short,
     /// multiplicative decrease, at most once per response time, when it is long or the upstream
     /// refuses because it is full.
     fn adjust_window(&mut self, now: Millis, completion: Completion, load: Option<LoadReport>) {
         let concurrency = f64::from(self.spec.concurrency.max(1));
         // A refusal without a report counts as one of a full upstream.
-        let full = load.is_none_or(|l| l.waiting > 0 || l.running >= l.concurrency);
+        let full = load.is_none_or(LoadReport::is_full);
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "positive")]
         let may_cut = now >= self.window_cut_at + self.response_time as Millis;
         match (completion, load) {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -163,7 +163,7 @@
 fn refused_key_does_not_hold_up_other_keys_of_its_owner() {
     let mut d = Dispatcher::default();
     d.set_upstreams(0, [spec(0, true)]);
-    d.on_refused_key(0, 7, 1);
+    d.on_refused_key(0, &"u0".into(), 7, 1);
     let refused = RequestSpec { key: Some(7), ..request(1, 1, owner()) };
     assert!(d.submit(1, refused).is_err(), "waits for the next owner");
     let other = RequestSpec { key: Some(8), ..request(1, 1, owner()) };
@@ -325,3 +325,112 @@
     assert!(d.poll(190).is_empty());
     assert_eq!(d.poll(200), [(ticket, Decision::Send("u0".into()))]);
 }
+
+const FENCE: u64 = 1;
+
+fn keyed(now: u64, key: u16) -> RequestSpec {
+    RequestSpec { key: Some(key), ..request(now, 1, owner()) }
+}
+
+fn is_rejected_without_owner(decision: &Decision) -> bool {
+    matches!(decision, Decision::Reject { reason: Rejection::NoOwner, retry_after } if *retry_after > 0)
+}
+
+/// An owner that was just committed gets its grant some 10 ms later: one more try, and no third one.
+#[test]
+fn request_is_sent_again_and_again_to_an_owner_without_a_grant() {
+    let mut d = Dispatcher::default();
+    d.set_upstreams(0, [spec(0, true)]);
+    let u0: Arc<str> = "u0".into();
+    assert!(sent_to(&d.submit(0, keyed(0, 7))).is_some());
+    d.on_completion(10, &u0, Completion::NotOwner, None);
+    assert!(!d.on_refused_key(10, &u0, 7, FENCE));
+    let waits = d.submit(11, keyed(0, 7)).expect_err("waits for the grant");
+    assert!(d.poll(100).is_empty());
+    assert_eq!(d.poll(135), [(waits, Decision::Send("u0".into()))]);
+    d.on_completion(150, &u0, Completion::NotOwner, None);
+    assert!(d.on_refused_key(150, &u0, 7, FENCE));
+    for key in [7, 8] {
+        let decision = d.submit(151, keyed(0, key)).expect("decided at once");
+        assert!(is_rejected_without_owner(&decision), "{decision:?}");
+    }
+    // With a later fence, and some time later, requests are sent again.
+    let later = Destination::Owner("u0".into(), FENCE + 1);
+    let granted = RequestSpec { destination: later, ..keyed(160, 7) };
+    assert!(sent_to(&d.submit(160, granted)).is_some());
+    assert!(sent_to(&d.submit(1_400, keyed(1_400, 7))).is_some());
+}
+
+/// An owner that has served a key has lost its grant when it refuses the key: the key may have moved, so
+/// that the request waits for a later fence, and is not sent under this one.
+#[test]
+fn request_is_sent_again_under_a_grant_that_has_lapsed() {
+    let mut d = Dispatcher::default();
+    d.set_upstreams(0, [spec(0, true)]);
+    let u0: Arc<str> = "u0".into();
+    d.on_accepted_key(0, &u0, 7, FENCE);
+    assert!(d.on_refused_key(500, &u0, 7, FENCE));
+    let waits = d.submit(501, keyed(500, 7)).expect_err("waits for a later fence");
+    let other = d.submit(501, keyed(500, 8));
+    assert!(sent_to(&other).is_some(), "one refusal shows nothing about other keys");
+    assert!(d.poll(700).is_empty());
+    let rejected = d.poll(810);
+    assert_eq!(rejected[0].0, waits);
+    assert!(is_rejected_without_owner(&rejected[0].1), "{rejected:?}");
+}
+
+#[test]
+fn request_that_waits_for_a_later_fence_is_sent_under_it() {
+    let mut d = Dispatcher::default();
+    d.set_upstreams(0, [spec(0, true), spec(1, true)]);
+    let u0: Arc<str> = "u0".into();
+    d.on_accepted_key(0, &u0, 7, FENCE);
+    d.on_refused_key(500, &u0, 7, FENCE);
+    let waits = d.submit(501, keyed(500, 7)).expect_err("waits for a later fence");
+    d.update_destinations(|_| Some(Destination::Owner("u1".into(), FENCE + 1)));
+    assert_eq!(d.poll(520), [(waits, Decision::Send("u1".into()))]);
+}
+
+/// Refusals of different keys in a row show the loss of all grants; a request that is run ends it.
+#[test]
+fn requests_go_on_to_an_owner_that_has_lost_its_grants() {
+    let mut d = Dispatcher::default();
+    d.set_upstreams(0, [spec(0, true)]);
+    let u0: Arc<str> = "u0".into();
+    assert!(!d.on_refused_key(0, &u0, 7, FENCE));
+    assert!(!d.on_refused_key(5, &u0, 8, FENCE), "grants may still be on their way");
+    assert!(sent_to(&d.submit(10, keyed(10, 9))).is_some());
+    assert!(d.on_refused_key(150, &u0, 9, FENCE));
+    let decision = d.submit(160, keyed(160, 10)).expect("decided at once");
+    assert!(is_rejected_without_owner(&decision), "{decision:?}");
+    d.on_accepted_key(170, &u0, 11, FENCE);
+    assert!(sent_to(&d.submit(180, keyed(180, 10))).is_some());
+}
+
+/// A request that a full owner has refused comes back to it 6 ms later.
+#[test]
+fn refused_request_is_sent_to_the_full_owner_at_once() {
+    let mut d = Dispatcher::default();
+    let small = UpstreamSpec { concurrency: 3, ..spec(0, true) };
+    d.set_upstreams(0, [small]);
+    let u0: Arc<str> = "u0".into();
+    let full = LoadReport { running: 3, waiting: 12, concurrency: 3 };
+    assert!(sent_to(&d.submit(0, request(0, 1, owner()))).is_some());
+    d.on_completion(6, &u0, Completion::Refused, Some(full));
+    let again = RequestSpec { admitted: true, ..request(0, 1, owner()) };
+    let waits = d.submit(6, again.clone()).expect_err("waits");
+    assert!(d.poll(30).is_empty());
+    // One of three requests that take 120 ms has ended.
+    assert_eq!(d.poll(46), [(waits, Decision::Send("u0".into()))]);
+    d.on_completion(50, &u0, Completion::Refused, Some(full));
+    assert!(d.submit(51, again.clone()).is_err(), "waits twice as long");
+    assert!(d.poll(100).is_empty());
+    let (_, decision) = d.poll(135).pop().expect("a decision");
+    assert_eq!(decision, Decision::Send("u0".into()));
+    d.on_completion(140, &u0, Completion::Refused, Some(full));
+    // Four times as long would be past the time that is left for it.
+    let urgent = RequestSpec { objective_at: 250, ..again };
+    let decision = d.submit(141, urgent);
+    let reason = Rejection::Overload;
+    assert!(matches!(decision, Ok(Decision::Reject { reason: r, .. }) if r == reason));
+}
