Count an upstream that says nothing as full, and try once more

Cause: upstreams whose queue is full never answer. Such an attempt ended at the deadline as inconclusive, so that the window stayed as it was, and an idempotent request had no time left.

Change: Completion::Silent shrinks the window as a refusal does and reports a queue of four times the concurrency, if the upstream has sent nothing to this instance since the attempt began, for four times its response time at least. An idempotent, buffered request of a rule without large responses is given up from its objective on and tried once more, if that can end in time and the retry budget allows it; that attempt may wait, after requests that can still meet their objective.

--- a/src/request_handler.rs
+++ b/src/request_handler.rs
@@ -5,6 +5,7 @@
 mod forwarding;
 mod queueing;
 mod stopping;
+mod unanswered;
 
 use self::{
     feedback::{owner_fence, record_feedback, record_leaving},
@@ -86,6 +87,8 @@
     admitted: bool,
     /// Whether an attempt is under way.
     is_sent: bool,
+    /// Whether an attempt was given up as unanswered, after the latency objective.
+    is_late: bool,
     forwarding: Forwarding,
     /// Permission to send it, if an upstream has ended under it.
     trial: Option<Trial>,
@@ -220,6 +223,7 @@
         owner_refusals: 0,
         admitted: false,
         is_sent: false,
+        is_late: false,
         forwarding,
         trial: None,
     })
@@ -306,11 +310,38 @@
     let is_repeated = cx.key.is_some() && cx.attempts > 0;
     // Owners may change until the response is there.
     let fence = owner_fence(node, cx, &upstream_id);
-    let attempt = forward::send(node, identity.head, body, &upstream, cx.deadlines, is_repeated);
-    cx.is_sent = true;
     let sent_at = now;
-    let Ok(report) = tokio::time::timeout(timeout, attempt).await else {
-        in_flight.end(Completion::Inconclusive, None);
+    let waiting = unanswered::waiting_attempt(node, cx, &upstream, sent_at);
+    let time_to_retry = waiting.and_then(|w| unanswered::time_to_retry(cx, body, &w));
+    let sending = forward::send(node, identity.head, body, &upstream, cx.deadlines, is_repeated);
+    let mut sending = Box::pin(tokio::time::timeout(timeout, sending));
+    cx.is_sent = true;
+    let early = match time_to_retry {
+        Some(time) => tokio::time::timeout(time, &mut sending).await.ok(),
+        None => None,
+    };
+    if let (None, Some(_), Some(waiting)) = (&early, time_to_retry, &waiting)
+        && unanswered::give_up(node, cx, &upstream, waiting)
+    {
+        drop(sending);
+        let completion = unanswered::completion(node, cx, &upstream, Some(waiting));
+        in_flight.end(completion, None);
+        (cx.is_sent, cx.may_have_run, cx.is_late) = (false, true, true);
+        cx.attempts += 1;
+        if cx.key.is_none() {
+            cx.tried.push(upstream_id);
+        }
+        return Ok(None);
+    }
+    let result = match early {
+        Some(result) => {
+            drop(sending);
+            result
+        }
+        None => sending.await,
+    };
+    let Ok(report) = result else {
+        in_flight.end(unanswered::completion(node, cx, &upstream, waiting.as_ref()), None);
         return Err(LocalResponse::new(StatusCode::GATEWAY_TIMEOUT, "timeout at the upstream"));
     };
     cx.is_sent = false;
--- a/src/request_handler/queueing.rs
+++ b/src/request_handler/queueing.rs
@@ -41,10 +41,12 @@
 }
 
 fn request_spec(state: &ServiceState, cx: &RequestContext) -> RequestSpec {
+    let objective_at = cx.arrived_at + cx.rule.objective_ms;
     RequestSpec {
         priority: cx.rule.priority,
         arrived_at: cx.arrived_at,
-        objective_at: cx.arrived_at + cx.rule.objective_ms,
+        // An attempt that began as the objective had passed may wait, after requests that can meet theirs.
+        objective_at: if cx.is_late { cx.deadlines.upstream } else { objective_at },
         deadline: cx.deadlines.upstream,
         destination: state.destination(cx.key),
         key: cx.key,
