--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -12,7 +12,9 @@
     admission_level::AdmissionLevel,
     clock::Millis,
     collections::HashMap,
+    key_refusals::{GrantState, KeyRefusals},
     keymap::Key,
+    other_paths::OtherPaths,
     overload::{AdmittedShares, OwnerShare},
     rate_limit::{InstancePosition, LimitNotice},
     reachability::Reachability,
@@ -41,9 +43,6 @@
 const UNAVAILABLE_RETRY_AFTER_MS: f64 = 600.0;
 /// `Retry-After` in milliseconds, before jitter, where the owner is lost.
 const OWNER_LOST_RETRY_AFTER_MS: f64 = 1_200.0;
-/// Time in milliseconds for which requests for an owner are not forwarded once other instances could
-/// not reach it either.
-const UNREACHABLE_FOR_OTHERS_MS: Millis = 1_000;
 /// Number of ejections in a row after which no request waits for the owner of its key.
 const UNREACHABLE_EJECTIONS: u32 = 2;
 /// Weight of one request in the moving average of the rejection rate.
@@ -154,9 +153,8 @@
     waiting: Vec<WaitingRequest>,
     /// Moving average of the share of rejected requests among those for any upstream.
     rejection_rate: f64,
-    /// Keys with the fence under which their owner refused them, and until when none of their
-    /// requests is sent.
-    refused_keys: HashMap<(Key, u64), Millis>,
+    /// Keys that their owners refused.
+    refusals: KeyRefusals,
     /// Shares of the requests that overloaded owners can serve.
     shares: AdmittedShares,
     /// Share of the requests for any upstream that is admitted.
@@ -172,10 +170,6 @@
     next_ticket: Ticket,
 }
 
-/// Time in milliseconds for which no request for a key is sent to the owner that refused the key,
-/// unless the key gets a new fence.
-const KEY_REFUSAL_MS: Millis = 120;
-
 impl Dispatcher {
     /// Tells which of all instances this one is; applies from the next list of upstreams on.
     pub fn set_position(&mut self, position: InstancePosition) {
@@ -200,6 +194,8 @@
             };
             self.upstreams.insert(id, upstream);
         }
+        let usable = self.upstreams.values().filter(|u| !u.spec.leaving).count();
+        self.reachability.set_upstreams(usable);
         // Removed upstreams with requests in flight stay, at least until the next call.
         let in_use = old.into_iter().filter(|(_, u)| u.in_flight > 0);
         let removed = in_use.map(|(id, mut u)| {
@@ -272,7 +268,7 @@
     pub fn submit(&mut self, now: Millis, req: RequestSpec) -> Result<Decision, Ticket> {
         self.had_requests = true;
         if req.forwardable && self.lacks_path(now, &req) {
-            return Ok(Decision::Forward);
+            return Ok(self.forward(now, &req));
         }
         if let Some(reason) = self.rejection_reason(now, &req) {
             return Ok(self.reject(now, &req, reason));
@@ -304,7 +300,8 @@
         let wait = self.expected_wait(now, &req, ahead);
         #[expect(clippy::cast_precision_loss, reason = "short spans")]
         let max_wait = req.objective_at.saturating_sub(now) as f64 * MAX_WAIT_SHARE;
-        if (ahead > 0 || self.is_rate_limited(now, &req)) && wait > max_wait {
+        let is_busy = ahead > 0 || self.is_rate_limited(now, &req) || self.is_full(now, &req);
+        if is_busy && wait > max_wait {
             return Ok(self.reject_for_capacity(now, &req));
         }
         let ticket = self.next_ticket;
@@ -346,10 +343,10 @@
         }
         match completion {
             Completion::Responded(_) | Completion::Refused | Completion::NotOwner => {
-                self.reachability.on_response();
+                self.reachability.on_response(now);
             }
-            Completion::Unreachable => self.reachability.on_unreachable(id),
-            Completion::Failed | Completion::Inconclusive => {}
+            Completion::Unreachable => self.reachability.on_unreachable(now, id),
+            Completion::Failed | Completion::Silent | Completion::Inconclusive => {}
         }
     }
 
@@ -358,17 +355,25 @@
         if let Some(u) = self.upstreams.get_mut(id) {
             u.eject(now);
         }
-        self.reachability.on_unreachable(id);
+        self.reachability.on_unreachable(now, id);
+    }
+
+    /// Records that upstream `id` has accepted a connection for a request.
+    pub fn on_connected(&mut self, id: &Arc<str>) {
+        if let Some(u) = self.upstreams.get_mut(id) {
+            u.other_paths = OtherPaths::default();
+        }
+        self.reachability.on_connected(id);
     }
 
     /// Records that an upstream has answered an order.
-    pub fn on_order_answered(&mut self) {
-        self.reachability.on_response();
+    pub fn on_order_answered(&mut self, now: Millis) {
+        self.reachability.on_response(now);
     }
 
     /// Records that no connection could be made to upstream `id` for an order.
-    pub fn on_order_not_sent(&mut self, id: &Arc<str>) {
-        self.reachability.on_unreachable(id);
+    pub fn on_order_not_sent(&mut self, now: Millis, id: &Arc<str>) {
+        self.reachability.on_unreachable(now, id);
     }
 
     /// Records that upstream `id` accepts connections, as seen outside of requests.
@@ -376,13 +381,13 @@
         if let Some(u) = self.upstreams.get_mut(id) {
             (u.ejections, u.ejected_until) = (0, 0);
         }
-        self.reachability.on_response();
+        self.on_connected(id);
     }
 
     /// Records that other instances do not reach upstream `id` either.
     pub fn on_unreachable_for_others(&mut self, now: Millis, id: &Arc<str>) {
         if let Some(u) = self.upstreams.get_mut(id) {
-            u.unreachable_for_others_until = now + UNREACHABLE_FOR_OTHERS_MS;
+            u.other_paths.on_refused(now);
         }
     }
 
@@ -392,6 +397,25 @@
         self.admission.take_change()
     }
 
+    /// Records that a request for owner `id` was forwarded, and whether another instance has served it.
+    pub fn on_forwarded(&mut self, now: Millis, id: &Arc<str>, served: bool) {
+        if let Some(u) = self.upstreams.get_mut(id) {
+            if served { u.other_paths.on_served(now) } else { u.other_paths.on_inconclusive() }
+        }
+    }
+
+    /// Returns the mean response time of upstream `id` in milliseconds.
+    #[must_use]
+    pub fn response_time(&self, id: &Arc<str>) -> Option<f64> {
+        self.upstreams.get(id).map(|u| u.response_time)
+    }
+
+    /// Returns whether nothing was heard from upstream `id` since `sent_at`.
+    #[must_use]
+    pub fn is_silent(&self, id: &Arc<str>, sent_at: Millis) -> bool {
+        self.upstreams.get(id).is_some_and(|u| u.heard_at.is_none_or(|at| at <= sent_at))
+    }
+
     /// Returns whether this instance is cut off from the upstreams.
     #[must_use]
     pub fn is_cut_off(&self) -> bool {
@@ -410,7 +434,7 @@
         match &req.destination {
             Destination::Owner(id, _) => {
                 let owner = self.upstreams.get(id).filter(|u| u.is_ejected(now));
-                self.is_cut_off() || owner.is_some_and(|u| now >= u.unreachable_for_others_until)
+                self.is_cut_off() || owner.is_some_and(|u| u.other_paths.may_ask(now))
             }
             Destination::Any => {
                 let mut usable = self.upstreams.values().filter(|u| !u.spec.leaving).peekable();
@@ -420,11 +444,35 @@
         }
     }
 
+    /// Decides to forward a request. Others for its owner wait until the result is known.
+    fn forward(&mut self, now: Millis, req: &RequestSpec) -> Decision {
+        if !self.is_cut_off()
+            && let Destination::Owner(id, _) = &req.destination
+            && let Some(u) = self.upstreams.get_mut(id)
+        {
+            u.other_paths.on_asked(now);
+        }
+        Decision::Forward
+    }
+
     /// Records that the upstream that owns a key under `fence`, by the committed owners, refused
-    /// it: it has not got the grant yet, or holds it no longer.
-    pub fn on_refused_key(&mut self, now: Millis, key: Key, fence: u64) {
-        self.refused_keys.retain(|_, until| *until > now);
-        self.refused_keys.insert((key, fence), now + KEY_REFUSAL_MS);
+    /// it: it has not got the grant yet, or holds it no longer. Returns whether it had lost it.
+    pub fn on_refused_key(&mut self, now: Millis, owner: &Arc<str>, key: Key, fence: u64) -> bool {
+        self.refusals.on_refused(now, owner, fence, key)
+    }
+
+    /// Records that the owner of a key has run a request under `fence`.
+    pub fn on_accepted_key(&mut self, now: Millis, owner: &Arc<str>, key: Key, fence: u64) {
+        self.refusals.on_accepted(now, owner, fence, key);
+    }
+
+    /// Returns whether the owner of a key holds the grant, as far as is known.
+    #[must_use]
+    pub fn grant_state(&self, now: Millis, key: Option<Key>, dest: &Destination) -> GrantState {
+        match (key, dest) {
+            (Some(key), Destination::Owner(id, fence)) => self.refusals.state(now, id, *fence, key),
+            _ => GrantState::Held,
+        }
     }
 
     /// Decides which waiting requests are now sent or rejected, and returns these decisions; those
@@ -435,7 +483,7 @@
         let (mut on_time, mut late) = (Vec::new(), Vec::new());
         for w in waiting {
             if w.req.forwardable && self.lacks_path(now, &w.req) {
-                decisions.push((w.ticket, Decision::Forward));
+                decisions.push((w.ticket, self.forward(now, &w.req)));
             } else if let Some(reason) = self.rejection_reason(now, &w.req) {
                 decisions.push((w.ticket, self.reject(now, &w.req, reason)));
             } else if now >= wait_deadline(&w.req) {
@@ -548,8 +596,16 @@
             {
                 Some(Rejection::UpstreamRest)
             }
+            Destination::Owner(..)
+                if self.grant_state(now, req.key, &req.destination) == GrantState::Lost =>
+            {
+                Some(Rejection::NoOwner)
+            }
             Destination::Owner(id, _) => {
                 let owner = self.upstreams.get(id).filter(|u| u.is_ejected(now))?;
+                if req.forwardable && owner.other_paths.is_asked(now) && now < wait_deadline(req) {
+                    return None;
+                }
                 // A request waits for an owner that has just become unreachable until half of the
                 // shortest ejection has passed since its arrival.
                 let has_waited =
@@ -566,10 +622,7 @@
 
     /// Returns whether the owner of the request's key has recently refused that key.
     fn is_key_refused(&self, now: Millis, req: &RequestSpec) -> bool {
-        let (Some(key), Destination::Owner(_, fence)) = (req.key, &req.destination) else {
-            return false;
-        };
-        self.refused_keys.get(&(key, *fence)).is_some_and(|until| now < *until)
+        self.grant_state(now, req.key, &req.destination) != GrantState::Held
     }
 
     /// Returns the time in milliseconds until the first upstream that could take the request wants
@@ -601,6 +654,14 @@
         }
     }
 
+    /// Returns whether the owner of the request's key was full just now.
+    fn is_full(&self, now: Millis, req: &RequestSpec) -> bool {
+        let Destination::Owner(id, _) = &req.destination else {
+            return false;
+        };
+        self.upstreams.get(id).is_some_and(|u| now < u.full_until)
+    }
+
     /// Returns how many waiting requests with the same destination go before `req`: those of the
     /// same or a higher priority.
     ///
@@ -624,7 +685,11 @@
         match &req.destination {
             Destination::Owner(id, _) => {
                 let owner = self.upstreams.get(id);
-                owner.map_or(MAX_RETRY_AFTER_MS, |u| u.expected_wait(now, position))
+                #[expect(clippy::cast_precision_loss, reason = "short spans")]
+                let wait = |u: &Upstream| {
+                    u.expected_wait(now, position).max(u.full_until.saturating_sub(now) as f64)
+                };
+                owner.map_or(MAX_RETRY_AFTER_MS, wait)
             }
             Destination::Any => {
                 let available = self
@@ -645,6 +710,7 @@
             Destination::Owner(id, _) => {
                 let u = self.upstreams.get(id)?;
                 let available = !u.spec.leaving && !u.is_ejected(now) && u.can_take(now);
+                let available = available && now >= u.full_until;
                 let available = available && !self.is_key_refused(now, req);
                 available.then(|| id.clone())
             }
--- a/src/upstream_state.rs
+++ b/src/upstream_state.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     clock::Millis,
+    other_paths::OtherPaths,
     rate_limit::{InstancePosition, LimitNotice, RateLimit},
     warmup::ColdPace,
 };
@@ -49,6 +50,12 @@
 /// Time in milliseconds for which it is avoided after each such failure.
 const FAILURE_AVOIDANCE_MS: Millis = 500;
 
+/// Shortest and longest time in milliseconds for which no request is sent to an owner of keys that was
+/// full.
+const FULL_PAUSE_RANGE_MS: (f64, f64) = (20.0, 800.0);
+/// Number of refusals in a row from which this time does not double any more.
+const MAX_PAUSE_DOUBLINGS: u32 = 3;
+
 /// An upstream as currently known.
 #[derive(Debug, Clone)]
 pub struct UpstreamSpec {
@@ -77,6 +84,14 @@
     pub concurrency: u32,
 }
 
+impl LoadReport {
+    /// Returns whether another request would have to wait.
+    #[must_use]
+    pub fn is_full(self) -> bool {
+        self.waiting > 0 || self.running >= self.concurrency
+    }
+}
+
 /// How an attempt at an upstream ended, as far as it matters for load balancing.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Completion {
@@ -90,6 +105,9 @@
     Failed,
     /// No connection could be made.
     Unreachable,
+    /// The upstream said nothing for much longer than it usually takes: it does not answer while its
+    /// queue is full.
+    Silent,
     /// Shows nothing about the upstream: the caller left, also before it had the decision, time ran
     /// out, an idle connection of the pool had been closed, or the upstream was removed before the
     /// request was sent.
@@ -123,8 +141,14 @@
     pub cold: Option<ColdPace>,
     /// Until when it wants no requests from this instance.
     pub rests_until: Millis,
-    /// Until when requests are not forwarded because of it, as others do not reach it either.
-    pub unreachable_for_others_until: Millis,
+    /// Until when requests for its keys wait, as it was full.
+    pub full_until: Millis,
+    /// Refusals as full since its last response.
+    pub refusals_in_a_row: u32,
+    /// When anything of it was last received.
+    pub heard_at: Option<Millis>,
+    /// Whether other instances reach it.
+    pub other_paths: OtherPaths,
 }
 
 impl Upstream {
@@ -147,7 +171,10 @@
             rate_limit: None,
             cold: None,
             rests_until: 0,
-            unreachable_for_others_until: 0,
+            full_until: 0,
+            refusals_in_a_row: 0,
+            heard_at: None,
+            other_paths: OtherPaths::default(),
         }
     }
 
@@ -283,9 +310,15 @@
                 self.response_time += RESPONSE_TIME_WEIGHT * (took_ms - self.response_time);
                 self.ejections = 0;
                 self.failures_in_a_row = 0;
+                (self.full_until, self.refusals_in_a_row) = (0, 0);
                 0.0
             }
-            Completion::Refused => 1.0,
+            Completion::Refused => {
+                if load.is_none_or(LoadReport::is_full) {
+                    self.pause(now);
+                }
+                1.0
+            }
             Completion::Failed => {
                 self.failures_in_a_row += 1;
                 if self.failures_in_a_row >= MAX_FAILURES_IN_A_ROW {
@@ -293,27 +326,51 @@
                 }
                 1.0
             }
+            Completion::Silent => {
+                self.pause(now);
+                1.0
+            }
             Completion::Unreachable => {
                 self.eject(now);
                 1.0
             }
-            Completion::NotOwner | Completion::Inconclusive => return,
+            Completion::NotOwner => {
+                self.heard_at = Some(now);
+                return;
+            }
+            Completion::Inconclusive => return,
         };
+        if matches!(completion, Completion::Responded(_) | Completion::Refused | Completion::Failed)
+        {
+            self.heard_at = Some(now);
+        }
         self.failure_rate += FAILURE_RATE_WEIGHT * (failed - self.failure_rate);
         self.adjust_window(now, completion, load);
     }
 
+    /// Makes requests for its keys wait until one that it runs is likely to have ended. All instances
+    /// wait for the same places, so that the time doubles while it refuses.
+    fn pause(&mut self, now: Millis) {
+        let (min, max) = FULL_PAUSE_RANGE_MS;
+        let one_ends = self.response_time / f64::from(self.spec.concurrency.max(1));
+        let factor = f64::from(1_u32 << self.refusals_in_a_row.min(MAX_PAUSE_DOUBLINGS));
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "positive")]
+        let pause_ms = (one_ends * factor).clamp(min, max) as Millis;
+        self.refusals_in_a_row += 1;
+        self.full_until = now + pause_ms;
+    }
+
     /// Adjusts the window to the load: additive increase while the upstream's queue is short,
     /// multiplicative decrease, at most once per response time, when it is long or the upstream
-    /// refuses because it is full.
+    /// refuses, or does not answer, because it is full.
     fn adjust_window(&mut self, now: Millis, completion: Completion, load: Option<LoadReport>) {
         let concurrency = f64::from(self.spec.concurrency.max(1));
         // A refusal without a report counts as one of a full upstream.
-        let full = load.is_none_or(|l| l.waiting > 0 || l.running >= l.concurrency);
+        let full = load.is_none_or(LoadReport::is_full);
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "positive")]
         let may_cut = now >= self.window_cut_at + self.response_time as Millis;
         match (completion, load) {
-            (Completion::Refused, _) if full && may_cut => {
+            (Completion::Refused | Completion::Silent, _) if full && may_cut => {
                 self.window = (self.window * REFUSAL_BACKOFF).max(MIN_WINDOW);
                 self.window_cut_at = now;
             }
