--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -6,6 +6,7 @@
 //! grants and releases; otherwise it reports traffic to the coordinator.
 
 mod giving_back;
+mod planning;
 mod store_calls;
 
 use crate::{
@@ -14,15 +15,12 @@
     collections::HashMap,
     coordinator::{Coordinator, GrantOrder, GrantTimes, OrderId, OrderOutcome, ReleaseOrder},
     error::Result,
-    evacuation,
-    gossip::{self, Message, MovingKeys},
-    grant_budget::GrantBudget,
+    gossip::{self, Message},
     keymap::{KeyMap, KeyRange, Owner},
     lease::{self, Lease},
     lease_handover::LeaseHandover,
     node::Node,
     overload::OverloadMonitor,
-    rebalance,
     resignation::Resignation,
     revision,
     routing_config::UpstreamInfo,
@@ -641,64 +639,13 @@
             |o: &Owner, u: &UpstreamInfo| addresses.get(o).is_some_and(|a| *a != u.address);
         coordinator.on_owners_ended(|o| later(o).is_some_and(|u| has_moved(o, u)));
         coordinator.on_owners_restarted(|o| later(o).is_some_and(|u| !has_moved(o, u)));
-        let mut started_moves = Vec::new();
         if now >= self.planned_at + PLAN_INTERVAL_MS
             && self.uncertain_commit.is_none()
             && !settling
             && !self.handover.has_begun()
         {
             self.planned_at = now;
-            self.traffic.decay(now);
-            self.traffic.set_cold_rates(self.node.cold_rates(&self.service, now));
-            let max_spans =
-                GrantBudget::new(self.node.cfg.cpu_cores, GRANT_RENEW_INTERVAL_MS).spans;
-            let spans = coordinator.owners().spans.len();
-            let min_mergeable =
-                if spans < max_spans { MIN_MERGEABLE.max(spans / 5) } else { MIN_MERGEABLE };
-            if coordinator.mergeable_count() >= min_mergeable
-                && coordinator.moving_ranges().is_empty()
-            {
-                coordinator.refence_all();
-            }
-            self.recently_moved.retain(|(_, until)| *until > now);
-            let recently_moved: Vec<KeyRange> =
-                self.recently_moved.iter().map(|(range, _)| *range).collect();
-            let (planned, moving) = (coordinator.planned_owners(), coordinator.moving_ranges());
-            let plan = rebalance::plan_within(
-                max_spans,
-                &planned,
-                &moving,
-                &recently_moved,
-                &upstreams,
-                &self.traffic,
-            );
-            let evacuated_since = evacuated_since(&self.node, &self.service);
-            let in_progress = moving.iter().filter(|range| {
-                let span = coordinator.owners().find(range.from);
-                span.is_some_and(|s| evacuated_since.contains_key(&s.owner.id))
-            });
-            let in_progress = in_progress.count();
-            let since = |owner: &Owner| evacuated_since.get(&owner.id).copied();
-            for reassignment in evacuation::next_batch(now, plan, &planned, in_progress, since) {
-                let (range, new_owner) = (reassignment.range, &reassignment.to);
-                log::info!(
-                    service = &*self.service, from = range.from, to = range.to,
-                    owner = &*new_owner.id, rate = self.traffic.rate(&range);
-                    "keys are to move"
-                );
-                coordinator.reassign(now, &reassignment);
-                self.recently_moved.push((range, now + MOVE_SETTLE_MS));
-                started_moves.push(range);
-            }
-        }
-        if !started_moves.is_empty() {
-            // On all instances, requests for these keys wait for the commit of the moves.
-            let (service, revision) = (self.service.clone(), coordinator.revision());
-            let moving = MovingKeys { service, revision, ranges: started_moves };
-            self.node.pause_keys(&moving);
-            gossip::broadcast(&self.node, &Message::Moving(moving));
-        }
-        if self.planned_at == now {
+            self.start_moves(now, &upstreams);
             self.announce_shares(now, &upstreams);
         }
         let Some(coordinator) = &mut self.coordinator else {
