Count an upstream that says nothing as full, and try once more

Cause: upstreams whose queue is full never answer. Such an attempt ended at the deadline as inconclusive, so that the window stayed as it was, and an idempotent request had no time left.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -290,7 +290,7 @@
                 self.reachability.on_response(now);
             }
             Completion::Unreachable => self.reachability.on_unreachable(now, id),
-            Completion::Failed | Completion::Inconclusive => {}
+            Completion::Failed | Completion::Silent | Completion::Inconclusive => {}
         }
     }
 
@@ -342,6 +342,18 @@
         }
     }
 
+    /// Returns the mean response time of upstream `id` in milliseconds.
+    #[must_use]
+    pub fn response_time(&self, id: &Arc<str>) -> Option<f64> {
+        self.upstreams.get(id).map(|u| u.response_time)
+    }
+
+    /// Returns whether nothing was heard from upstream `id` since `sent_at`.
+    #[must_use]
+    pub fn is_silent(&self, id: &Arc<str>, sent_at: Millis) -> bool {
+        self.upstreams.get(id).is_some_and(|u| u.heard_at.is_none_or(|at| at <= sent_at))
+    }
+
     /// Returns whether this instance is cut off from the upstreams.
     #[must_use]
     pub fn is_cut_off(&self) -> bool {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -153,6 +153,7 @@
 pub mod routing_config;
 pub mod settings;
 pub mod shared_state;
+pub mod silence;
 pub mod slot;
 mod socket;
 pub mod standby;
--- a/src/request_handler.rs
+++ b/src/request_handler.rs
@@ -5,19 +5,21 @@
 mod forwarding;
 mod queueing;
 mod stopping;
+mod unanswered;
 
 use self::{
     feedback::{owner_fence, record_feedback, record_leaving},
     forwarding::{forward_to_others, rejection_reason, try_alone},
     queueing::{InFlightGuard, admit},
     stopping::reject_if_stopping,
+    unanswered::Sent,
 };
 use crate::{
     body::RequestBody,
     clock::{Millis, boot_millis},
     dispatch::{Completion, Decision, Rejection},
     ended_upstreams::{self, BrokenRequest},
-    forward::{self, AttemptResult, Deadlines},
+    forward::{AttemptResult, Deadlines},
     http::{self, Body},
     key_refusals::GrantState,
     keymap::Key,
@@ -86,11 +88,27 @@
     admitted: bool,
     /// Whether an attempt is under way.
     is_sent: bool,
+    /// Time by which the response should be there; the deadline once an attempt was given up as
+    /// unanswered after it.
+    objective_at: Millis,
     forwarding: Forwarding,
     /// Permission to send it, if an upstream has ended under it.
     trial: Option<Trial>,
 }
 
+impl RequestContext {
+    /// Records that the attempt at an upstream was given up as unanswered. Another one may wait longer,
+    /// after requests that can still meet their objective.
+    fn on_given_up(&mut self, upstream: Arc<str>) {
+        (self.is_sent, self.may_have_run) = (false, true);
+        self.attempts += 1;
+        self.objective_at = self.deadlines.upstream;
+        if self.key.is_none() {
+            self.tried.push(upstream);
+        }
+    }
+}
+
 /// Whether a request may be forwarded to another instance.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Forwarding {
@@ -207,6 +225,7 @@
         upstream: timeout.map_or(deadline, |t| t.min(deadline)),
         response: timeout.map_or(deadline, |t| (t + TIMEOUT_GRACE_MS).min(deadline)),
     };
+    let objective_ms = rule.objective_ms;
     Ok(RequestContext {
         id,
         rule,
@@ -220,6 +239,7 @@
         owner_refusals: 0,
         admitted: false,
         is_sent: false,
+        objective_at: arrived_at + objective_ms,
         forwarding,
         trial: None,
     })
@@ -300,18 +320,24 @@
     // The signal to stop may have come while it waited, or more upstreams have ended under it.
     reject_if_stopping(node, cx)?;
     reject_if_it_ends_upstreams(node, cx, identity, body)?;
-    let now = boot_millis();
-    let timeout = cx.deadlines.response_time(now);
     // Requests without a key go to an upstream once.
     let is_repeated = cx.key.is_some() && cx.attempts > 0;
     // Owners may change until the response is there.
     let fence = owner_fence(node, cx, &upstream_id);
-    let attempt = forward::send(node, identity.head, body, &upstream, cx.deadlines, is_repeated);
+    let sent_at = boot_millis();
     cx.is_sent = true;
-    let sent_at = now;
-    let Ok(report) = tokio::time::timeout(timeout, attempt).await else {
-        in_flight.end(Completion::Inconclusive, None);
-        return Err(LocalResponse::new(StatusCode::GATEWAY_TIMEOUT, "timeout at the upstream"));
+    let sent = unanswered::send(node, cx, identity.head, body, &upstream, is_repeated).await;
+    let report = match sent {
+        Sent::Report(report) => *report,
+        Sent::GivenUp(completion) => {
+            in_flight.end(completion, None);
+            cx.on_given_up(upstream_id);
+            return Ok(None);
+        }
+        Sent::TimedOut(completion) => {
+            in_flight.end(completion, None);
+            return Err(LocalResponse::new(StatusCode::GATEWAY_TIMEOUT, "timeout at the upstream"));
+        }
     };
     cx.is_sent = false;
     record_feedback(node, cx, &upstream_id, fence, &report);
--- a/src/request_handler/queueing.rs
+++ b/src/request_handler/queueing.rs
@@ -44,7 +44,7 @@
     RequestSpec {
         priority: cx.rule.priority,
         arrived_at: cx.arrived_at,
-        objective_at: cx.arrived_at + cx.rule.objective_ms,
+        objective_at: cx.objective_at,
         deadline: cx.deadlines.upstream,
         destination: state.destination(cx.key),
         key: cx.key,
--- a/src/upstream_state.rs
+++ b/src/upstream_state.rs
@@ -101,6 +101,9 @@
     Failed,
     /// No connection could be made.
     Unreachable,
+    /// The upstream said nothing for much longer than it usually takes: it does not answer while its
+    /// queue is full.
+    Silent,
     /// Shows nothing about the upstream: the caller left, also before it had the decision, time ran
     /// out, an idle connection of the pool had been closed, or the upstream was removed before the
     /// request was sent.
@@ -136,6 +139,8 @@
     pub full_until: Millis,
     /// Refusals as full since its last response.
     pub refusals_in_a_row: u32,
+    /// When anything of it was last received.
+    pub heard_at: Option<Millis>,
     /// Whether other instances reach it.
     pub other_paths: OtherPaths,
 }
@@ -161,6 +166,7 @@
             rests_until: 0,
             full_until: 0,
             refusals_in_a_row: 0,
+            heard_at: None,
             other_paths: OtherPaths::default(),
         }
     }
@@ -296,12 +302,24 @@
                 }
                 1.0
             }
+            Completion::Silent => {
+                self.pause(now);
+                1.0
+            }
             Completion::Unreachable => {
                 self.eject(now);
                 1.0
             }
-            Completion::NotOwner | Completion::Inconclusive => return,
+            Completion::NotOwner => {
+                self.heard_at = Some(now);
+                return;
+            }
+            Completion::Inconclusive => return,
         };
+        if matches!(completion, Completion::Responded(_) | Completion::Refused | Completion::Failed)
+        {
+            self.heard_at = Some(now);
+        }
         self.failure_rate += FAILURE_RATE_WEIGHT * (failed - self.failure_rate);
         self.adjust_window(now, completion, load);
     }
@@ -320,7 +338,7 @@
 
     /// Adjusts the window to the load: additive increase while the upstream's queue is short,
     /// multiplicative decrease, at most once per response time, when it is long or the upstream
-    /// refuses because it is full.
+    /// refuses, or does not answer, because it is full.
     fn adjust_window(&mut self, now: Millis, completion: Completion, load: Option<LoadReport>) {
         let concurrency = f64::from(self.spec.concurrency.max(1));
         // A refusal without a report counts as one of a full upstream.
@@ -328,7 +346,7 @@
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "positive")]
         let may_cut = now >= self.window_cut_at + self.response_time as Millis;
         match (completion, load) {
-            (Completion::Refused, _) if full && may_cut => {
+            (Completion::Refused | Completion::Silent, _) if full && may_cut => {
                 self.window = (self.window * REFUSAL_BACKOFF).max(MIN_WINDOW);
                 self.window_cut_at = now;
             }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -3,6 +3,7 @@
 use mulberryspur::dispatch::{
     Completion, Decision, Destination, Dispatcher, LoadReport, Rejection, RequestSpec, UpstreamSpec,
 };
+use mulberryspur::silence::WaitingAttempt;
 use std::{collections::BinaryHeap, sync::Arc};
 
 const OBJECTIVE_MS: u64 = 400;
@@ -434,3 +435,49 @@
     let reason = Rejection::Overload;
     assert!(matches!(decision, Ok(Decision::Reject { reason: r, .. }) if r == reason));
 }
+
+/// An upstream that has nothing but silence for a request is full: fewer requests are sent to it.
+#[test]
+fn silent_upstream_gets_as_many_requests_as_before() {
+    let sent = |completion| {
+        let mut d = Dispatcher::default();
+        d.set_upstreams(0, [spec(0, true)]);
+        for _ in 0..3 {
+            assert!(sent_to(&d.submit(0, request(0, 1, owner()))).is_some());
+        }
+        for now in [2_000, 2_200, 2_400] {
+            d.on_completion(now, &"u0".into(), completion, None);
+        }
+        (0..5).filter(|_| sent_to(&d.submit(4_000, request(4_000, 1, owner()))).is_some()).count()
+    };
+    assert_eq!((sent(Completion::Inconclusive), sent(Completion::Silent)), (3, 1));
+}
+
+#[test]
+fn upstream_that_responds_to_others_counts_as_silent() {
+    let mut d = Dispatcher::default();
+    d.set_upstreams(0, [spec(0, true)]);
+    let u0: Arc<str> = "u0".into();
+    assert!(d.is_silent(&u0, 100));
+    d.on_completion(99, &u0, Completion::Responded(80.0), None);
+    assert!(d.is_silent(&u0, 100));
+    d.on_completion(101, &u0, Completion::Refused, None);
+    assert!(!d.is_silent(&u0, 100));
+}
+
+/// Work times have a tail of five times the mean, and upstreams are three times slower at times.
+#[test]
+fn slow_attempt_is_given_up_early() {
+    let attempt = WaitingAttempt {
+        sent_at: 1_000,
+        objective_at: 1_800,
+        deadline: 3_000,
+        response_time_ms: 120.0,
+    };
+    assert_eq!(attempt.retry_at(), Some(1_800), "not before its objective");
+    let slow = WaitingAttempt { response_time_ms: 300.0, ..attempt };
+    assert_eq!(slow.retry_at(), Some(2_200), "four times the response time");
+    let slower = WaitingAttempt { response_time_ms: 400.0, ..attempt };
+    assert_eq!(slower.retry_at(), None, "another attempt would not end in time");
+    assert_eq!(slower.unanswered_from(), 2_600);
+}
