Never pass on a response with an invalid status

Cause: the parser of the HTTP library accepts statuses up to 999, and 101 though no upgrade was asked for. Of 16 invalid statuses, 600, 601, 999 and 101 of an upstream reached the caller, and the same ones from an instance that had been forwarded the request; the others failed already.

Change: a response must have a status of 200 to 599. Any other one is a failed attempt with unknown result, whatever its headers say, and its connection is dropped.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -127,6 +127,12 @@
     Some(LoadReport { running: next()?, waiting: next()?, concurrency: next()? })
 }
 
+/// Returns whether a response may have this status. The library accepts up to 999, and 101 though no
+/// upgrade was asked for; others below 200 only precede a response.
+pub(crate) fn is_final_status(status: StatusCode) -> bool {
+    (200..=599).contains(&status.as_u16())
+}
+
 /// Returns whether a response says that the request has not run.
 fn is_refusal(node: &Node, head: &response::Parts) -> bool {
     head.headers.contains_key(&node.adapter.header_names.not_run)
@@ -253,6 +259,11 @@
         }
     };
     let (mut parts, incoming) = res.into_parts();
+    if !is_final_status(parts.status) {
+        // Nothing else in it can be trusted, as a header that tells that the request has not run.
+        let reason = format!("invalid status {}", parts.status.as_u16());
+        return AttemptReport::new(AttemptResult::Unknown(reason), Completion::Failed);
+    }
     let names = &node.adapter.header_names;
     if parts.headers.get(&names.request_id) != head.headers.get(&names.request_id) {
         // The response belongs to an earlier request, so nothing on this connection can be trusted.
--- a/src/peer_forward.rs
+++ b/src/peer_forward.rs
@@ -161,6 +161,9 @@
         Err(f) => return ForwardResult::Unknown(f.error.to_string()),
     };
     let (mut parts, incoming) = res.into_parts();
+    if !forward::is_final_status(parts.status) {
+        return ForwardResult::Unknown(format!("invalid status {}", parts.status.as_u16()));
+    }
     let id = &node.adapter.header_names.request_id;
     if parts.headers.get(id) != req.head.headers.get(id) {
         return ForwardResult::Unknown("response to another request".into());
