--- a/src/request_handler/unanswered.rs
+++ b/src/request_handler/unanswered.rs
@@ -5,14 +5,56 @@
     body::RequestBody,
     clock::{Millis, boot_millis},
     dispatch::Completion,
+    forward::{self, AttemptReport},
     node::Node,
     routing_config::UpstreamInfo,
     silence::{FULL_QUEUE_FACTOR, WaitingAttempt},
 };
-use std::time::Duration;
+use hyper::http::request::Parts;
+use std::{rc::Rc, time::Duration};
+
+/// How an attempt has ended.
+pub(super) enum Sent {
+    Report(Box<AttemptReport>),
+    /// It was given up for another one, which was taken from the retry budget.
+    GivenUp(Completion),
+    /// The time of the request is over.
+    TimedOut(Completion),
+}
+
+/// Sends a request to an upstream and waits for the response, as long as that is useful.
+pub(super) async fn send(
+    node: &Rc<Node>,
+    cx: &RequestContext,
+    head: &Parts,
+    body: &mut RequestBody,
+    upstream: &UpstreamInfo,
+    is_repeated: bool,
+) -> Sent {
+    let sent_at = boot_millis();
+    let waiting = waiting_attempt(node, cx, upstream, sent_at);
+    let time_to_retry = waiting.and_then(|w| Some((time_to_retry(cx, body, &w)?, w)));
+    let sending = forward::send(node, head, body, upstream, cx.deadlines, is_repeated);
+    let timeout = cx.deadlines.response_time(sent_at);
+    let mut sending = Box::pin(tokio::time::timeout(timeout, sending));
+    if let Some((time, waiting)) = time_to_retry {
+        match tokio::time::timeout(time, &mut sending).await {
+            Ok(Ok(report)) => return Sent::Report(Box::new(report)),
+            Err(_) if give_up(node, cx, upstream, &waiting) => {
+                return Sent::GivenUp(completion(node, cx, upstream, Some(&waiting)));
+            }
+            Ok(Err(_)) => return Sent::TimedOut(completion(node, cx, upstream, Some(&waiting))),
+            Err(_) => {}
+        }
+    }
+    match sending.await {
+        Ok(report) => Sent::Report(Box::new(report)),
+        Err(_) => Sent::TimedOut(completion(node, cx, upstream, waiting.as_ref())),
+    }
+}
 
 /// Returns an attempt that is sent now.
-pub(super) fn waiting_attempt(
+fn waiting_attempt(
     node: &Node,
     cx: &RequestContext,
     upstream: &UpstreamInfo,
@@ -20,17 +62,16 @@
 ) -> Option<WaitingAttempt> {
     let services = node.services.borrow();
     let response_time_ms = services.get(&cx.service)?.dispatcher.response_time(&upstream.id)?;
-    let objective_at = cx.arrived_at + cx.rule.objective_ms;
     Some(WaitingAttempt {
         sent_at,
-        objective_at,
+        objective_at: cx.objective_at,
         deadline: cx.deadlines.upstream,
         response_time_ms,
     })
 }
 
 /// Returns after which time an attempt may be given up for another one.
-pub(super) fn time_to_retry(
+fn time_to_retry(
     cx: &RequestContext,
     body: &RequestBody,
     attempt: &WaitingAttempt,
@@ -45,7 +86,7 @@
 }
 
 /// Returns whether an attempt is given up now for another one, and takes that from the retry budget.
-pub(super) fn give_up(
+fn give_up(
     node: &Node,
     cx: &RequestContext,
     upstream: &UpstreamInfo,
@@ -59,7 +100,7 @@
 
 /// Returns how an attempt without a response has ended, and counts a full queue if the upstream has said
 /// nothing for too long.
-pub(super) fn completion(
+fn completion(
     node: &Node,
     cx: &RequestContext,
     upstream: &UpstreamInfo,
