Let others watch the lease at once when a renewal fails

A failed renewal is now told at once. An owner at whose listed address a grant meets another upstream has ended, so its keys need not wait for its grants to expire.

--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -12,7 +12,7 @@
 use crate::{
     adapter::{ChangeOutcome, Row, RowName},
     clock::{Millis, boot_millis},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     coordinator::{Coordinator, GrantOrder, GrantTimes, OrderId, OrderOutcome, ReleaseOrder},
     error::Result,
     gossip::{self, Message},
@@ -93,7 +93,7 @@
 /// Input of a coordinator task.
 enum Event {
     Traffic(TrafficReport),
-    GrantEnded(OrderId, Arc<str>, OrderOutcome),
+    GrantEnded(OrderId, Owner, OrderOutcome),
     ReleaseEnded(OrderId, OrderOutcome),
     /// A write of the lease's row, which was sent at `sent`, has ended; `commit` holds the owners
     /// that it was to commit too.
@@ -125,6 +125,8 @@
     /// Whether this instance acts as the coordinator: its lease is valid, and it has read the
     /// owners.
     acting: Rc<Cell<bool>>,
+    /// Whether its last renewal of the lease failed.
+    renewal_failed: Rc<Cell<bool>>,
 }
 
 /// How many grants have been answered.
@@ -168,6 +170,7 @@
     tx: mpsc::UnboundedSender<Event>,
     last_heard: Rc<Cell<Millis>>,
     acting: Rc<Cell<bool>>,
+    renewal_failed: Rc<Cell<bool>>,
     lease: Lease,
     coordinator: Option<Coordinator>,
     traffic: TrafficStats,
@@ -175,6 +178,8 @@
     /// The owners whose shares were announced last.
     overloaded_owners: Vec<Arc<str>>,
     addresses: HashMap<Owner, SocketAddr>,
+    /// Owners whose address is known from their own entry.
+    listed_owners: HashSet<Owner>,
     /// Upstreams that may hold keys, in case the last owners become uncertain.
     upstream_memory: UpstreamMemory,
     /// When the listed upstreams were last noted there.
@@ -239,10 +244,12 @@
     // Counting from the start gives a coordinator time to be heard from.
     let last_heard = Rc::new(Cell::new(now));
     let acting = Rc::new(Cell::new(false));
+    let renewal_failed = Rc::new(Cell::new(false));
     let handle = CoordinatorHandle {
         tx: tx.clone(),
         last_heard: last_heard.clone(),
         acting: acting.clone(),
+        renewal_failed: renewal_failed.clone(),
     };
     coordinators.insert(service.clone(), handle);
     let task = CoordinatorTask {
@@ -251,12 +258,14 @@
         tx,
         last_heard,
         acting,
+        renewal_failed,
         lease: Lease::new(node.cfg.name.clone(), node.process),
         coordinator: None,
         traffic: TrafficStats::new(now),
         overload: OverloadMonitor::default(),
         overloaded_owners: Vec::new(),
         addresses: HashMap::default(),
+        listed_owners: HashSet::default(),
         upstream_memory: UpstreamMemory::new(now, if node.cfg.first_start { 0 } else { now }),
         remembered_at: 0,
         grant_counts: GrantCounts::default(),
@@ -298,7 +307,9 @@
         // The task ends only with the process.
         let _ = handle.tx.send(Event::Traffic(report));
     }
-    handle.acting.get()
+    // One whose renewals fail, as where the store refuses only this instance, may still act, but
+    // others must watch the lease in time to take it when it ends.
+    handle.acting.get() && !handle.renewal_failed.get()
 }
 
 /// Notes whether another instance acts as the service's coordinator; returns whether it is news that
@@ -385,9 +396,14 @@
             Event::Traffic(report) => self.add_report(&report),
             Event::GrantEnded(id, owner, outcome) => {
                 self.grant_counts.add(&outcome);
-                self.note_path(&owner, &outcome);
+                self.note_path(&owner.id, &outcome);
                 if let Some(coordinator) = &mut self.coordinator {
                     coordinator.on_grant_outcome(now, id, &outcome);
+                    // A process keeps its address, so the one that listed this address has ended.
+                    if outcome == OrderOutcome::OtherUpstream && self.listed_owners.contains(&owner)
+                    {
+                        coordinator.on_owners_ended(|o| *o == owner);
+                    }
                 }
             }
             Event::ReleaseEnded(id, outcome) => {
@@ -602,7 +618,8 @@
         let upstreams = self.upstreams();
         for upstream in &upstreams {
             let owner = Owner { id: upstream.id.clone(), started: upstream.started };
-            self.addresses.insert(owner, upstream.address);
+            self.addresses.insert(owner.clone(), upstream.address);
+            self.listed_owners.insert(owner);
         }
         if upstreams.len() != self.upstream_count.0 {
             self.upstream_count = (upstreams.len(), now);
@@ -705,7 +722,7 @@
     }
 
     fn send_grant(&self, order: GrantOrder) {
-        let (id, owner) = (order.id, order.owner.id.clone());
+        let (id, owner) = (order.id, order.owner.clone());
         let address = self.addresses.get(&order.owner).copied();
         let call = address.map(|a| (self.node.adapter.orders.grant)(a, order));
         self.send_order(call, move |outcome| Event::GrantEnded(id, owner, outcome));
--- a/src/coordinator_task/store_calls.rs
+++ b/src/coordinator_task/store_calls.rs
@@ -123,6 +123,7 @@
                 let taken = self.lease.held_revision().is_none();
                 self.lease.on_written(sent, *revision);
                 self.outage = now >= sent + SLOW_CALL_MS;
+                self.renewal_failed.set(false);
                 if taken {
                     // The owners are read at once; only reads of the lease are spaced.
                     self.next_call_at = now;
@@ -151,6 +152,7 @@
                     coordinator.on_commit_failed();
                 }
                 self.enter_outage();
+                self.tell_renewal_failed();
                 self.next_call_at = now + CALL_RETRY_DELAY_MS;
             }
             ChangeOutcome::Unknown => {
@@ -159,11 +161,22 @@
                 }
                 self.reread_lease = self.lease.held_revision().is_some();
                 self.enter_outage();
+                self.tell_renewal_failed();
                 self.next_call_at = now + CALL_RETRY_DELAY_MS;
             }
         }
     }
 
+    /// Tells the other instances that this one, which may still act, could not renew the lease, so that
+    /// they watch it. Its holds outlast their wait for it only if that begins at once.
+    fn tell_renewal_failed(&self) {
+        if self.acting.get() && !self.renewal_failed.replace(true) {
+            log::info!(service = &*self.service; "the lease could not be renewed, others are told");
+            let (service, acting) = (self.service.clone(), false);
+            gossip::broadcast(&self.node, &Message::CoordinatorStatus { service, acting });
+        }
+    }
+
     /// Tells the other instances that this one is the coordinator.
     fn publish_coordinator(&self, revision: u64) {
         let value = Some(EntryValue::Coordinator(self.node.cfg.name.clone()));
