Mend what the review of the merged parts found

Admission: the level rises with time too, each response is compared with the objective of its own request, and it and the drawn choice apply only where more instances share an upstream than four times its concurrency. A silent attempt is given up only if another upstream can take the request. A lease is not handed over while the store does not answer; a task that starts during a stop takes none; sizes dropped by an earlier version are taken over again; unanswered grants that have expired are forgotten. A grant that meets another upstream no longer counts as proof that its owner has ended: two processes may answer at one address for a moment.

--- a/src/admission_level.rs
+++ b/src/admission_level.rs
@@ -28,8 +28,15 @@
 const MIN_FACTOR: f64 = 0.7;
 /// By how much it rises at once.
 const INCREASE: f64 = 0.05;
+/// Time in milliseconds without a delayed response after which the level rises whatever the number of
+/// responses.
+const RECOVERY_INTERVAL_MS: Millis = 1_000;
+/// By how much it then rises.
+const RECOVERY_INCREASE: f64 = 0.1;
 /// Smallest level: responses are needed to learn that the queues are short again.
 const MIN_LEVEL: f64 = 0.05;
+/// Level below which it is logged that requests are rejected.
+const LIMITED_LEVEL: f64 = 0.8;
 /// Least share of a priority's requests that is admitted, as a share of the level, so that no
 /// priority is starved by more urgent ones.
 const MIN_PRIORITY_SHARE: f64 = 0.3;
@@ -45,8 +52,8 @@
     responses: f64,
     delayed: f64,
     priorities: HashMap<u8, PriorityState>,
-    /// The level that was returned last by [`Self::take_change`].
-    told: f64,
+    /// What [`Self::take_change`] returned last.
+    told: bool,
 }
 
 /// Requests of one priority.
@@ -68,7 +75,7 @@
             responses: 0.0,
             delayed: 0.0,
             priorities: HashMap::default(),
-            told: 1.0,
+            told: false,
         }
     }
 }
@@ -100,6 +107,17 @@
         self.share_out();
     }
 
+    /// Raises the level for each [`RECOVERY_INTERVAL_MS`] without a delayed response. While few requests
+    /// are admitted, responses alone would raise it slowly.
+    fn recover(&mut self, now: Millis) {
+        if self.level < 1.0 && self.delayed < 1.0 && now >= self.adjusted_at + RECOVERY_INTERVAL_MS
+        {
+            self.level = (self.level + RECOVERY_INCREASE).min(1.0);
+            self.adjusted_at = now;
+            self.share_out();
+        }
+    }
+
     /// Divides the level among the priorities, the most urgent first.
     fn share_out(&mut self) {
         let mut order: Vec<u8> = self.priorities.keys().copied().collect();
@@ -122,7 +140,8 @@
     }
 
     /// Returns whether a new request of this priority is admitted.
-    pub fn admits(&mut self, priority: u8) -> bool {
+    pub fn admits(&mut self, now: Millis, priority: u8) -> bool {
+        self.recover(now);
         let level = self.level;
         let new = || PriorityState { requests: 0.0, share: level, credit: rand::random() };
         let p = self.priorities.entry(priority).or_insert_with(new);
@@ -144,9 +163,10 @@
         self.level
     }
 
-    /// Returns the level if it has changed since the last call, and the one before.
-    pub fn take_change(&mut self) -> Option<(f64, f64)> {
-        let before = std::mem::replace(&mut self.told, self.level);
-        ((before - self.level).abs() > f64::EPSILON).then_some((before, self.level))
+    /// Returns whether requests are rejected, if that has changed since the last call. Small changes
+    /// near the full level do not count.
+    pub fn take_change(&mut self) -> Option<bool> {
+        let limited = if self.told { self.level < 1.0 } else { self.level < LIMITED_LEVEL };
+        (std::mem::replace(&mut self.told, limited) != limited).then_some(limited)
     }
 }
--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -397,6 +397,9 @@
         if self.uncertainty.is_some() {
             return Vec::new();
         }
+        for g in &mut self.grants {
+            g.unanswered.retain(|_, grant| grant.in_transit || grant.expires_at > now);
+        }
         let is_owned = |g: &RangeGrants| {
             let span = self.owners.find(g.range.from);
             span.is_some_and(|s| s.fence == g.fence && s.owner == g.owner)
--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -12,7 +12,7 @@
 use crate::{
     adapter::{ChangeOutcome, Row, RowName},
     clock::{Millis, boot_millis},
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     coordinator::{Coordinator, GrantOrder, GrantTimes, OrderId, OrderOutcome, ReleaseOrder},
     error::Result,
     gossip::{self, Message},
@@ -93,7 +93,7 @@
 /// Input of a coordinator task.
 enum Event {
     Traffic(TrafficReport),
-    GrantEnded(OrderId, Owner, OrderOutcome),
+    GrantEnded(OrderId, Arc<str>, OrderOutcome),
     ReleaseEnded(OrderId, OrderOutcome),
     /// A write of the lease's row, which was sent at `sent`, has ended; `commit` holds the owners
     /// that it was to commit too.
@@ -178,8 +178,6 @@
     /// The owners whose shares were announced last.
     overloaded_owners: Vec<Arc<str>>,
     addresses: HashMap<Owner, SocketAddr>,
-    /// Owners whose address is known from their own entry.
-    listed_owners: HashSet<Owner>,
     /// Upstreams that may hold keys, in case the last owners become uncertain.
     upstream_memory: UpstreamMemory,
     /// When the listed upstreams were last noted there.
@@ -236,7 +234,8 @@
 /// Starts the coordinator task of a service unless it is running.
 pub(crate) fn start(node: &Rc<Node>, service: &Arc<str>) {
     let mut coordinators = node.coordinators.borrow_mut();
-    if coordinators.contains_key(service) {
+    // A task that starts during a stop would take a lease that nobody renews.
+    if coordinators.contains_key(service) || node.stopping_since.get().is_some() {
         return;
     }
     let (tx, rx) = mpsc::unbounded_channel();
@@ -265,7 +264,6 @@
         overload: OverloadMonitor::default(),
         overloaded_owners: Vec::new(),
         addresses: HashMap::default(),
-        listed_owners: HashSet::default(),
         upstream_memory: UpstreamMemory::new(now, if node.cfg.first_start { 0 } else { now }),
         remembered_at: 0,
         grant_counts: GrantCounts::default(),
@@ -396,14 +394,9 @@
             Event::Traffic(report) => self.add_report(&report),
             Event::GrantEnded(id, owner, outcome) => {
                 self.grant_counts.add(&outcome);
-                self.note_path(&owner.id, &outcome);
+                self.note_path(&owner, &outcome);
                 if let Some(coordinator) = &mut self.coordinator {
                     coordinator.on_grant_outcome(now, id, &outcome);
-                    // A process keeps its address, so the one that listed this address has ended.
-                    if outcome == OrderOutcome::OtherUpstream && self.listed_owners.contains(&owner)
-                    {
-                        coordinator.on_owners_ended(|o| *o == owner);
-                    }
                 }
             }
             Event::ReleaseEnded(id, outcome) => {
@@ -618,8 +611,7 @@
         let upstreams = self.upstreams();
         for upstream in &upstreams {
             let owner = Owner { id: upstream.id.clone(), started: upstream.started };
-            self.addresses.insert(owner.clone(), upstream.address);
-            self.listed_owners.insert(owner);
+            self.addresses.insert(owner, upstream.address);
         }
         if upstreams.len() != self.upstream_count.0 {
             self.upstream_count = (upstreams.len(), now);
@@ -722,7 +714,7 @@
     }
 
     fn send_grant(&self, order: GrantOrder) {
-        let (id, owner) = (order.id, order.owner.clone());
+        let (id, owner) = (order.id, order.owner.id.clone());
         let address = self.addresses.get(&order.owner).copied();
         let call = address.map(|a| (self.node.adapter.orders.grant)(a, order));
         self.send_order(call, move |outcome| Event::GrantEnded(id, owner, outcome));
--- a/src/coordinator_task/giving_back.rs
+++ b/src/coordinator_task/giving_back.rs
@@ -118,6 +118,11 @@
 
     /// Hands the lease over to a larger instance that has offered to take it.
     pub(super) fn hand_over_if_due(&mut self, now: Millis) {
+        // The store would not take the write that gives the lease back, and the longer grants of an
+        // outage would be dropped with it.
+        if self.outage || self.renewal_failed.get() {
+            return;
+        }
         let is_behind = self.grant_counts.is_behind;
         match self.handover.next_step(now, self.acting_since, is_behind) {
             lease_handover::Step::Keep | lease_handover::Step::Wait => {}
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -47,8 +47,9 @@
 const UNREACHABLE_EJECTIONS: u32 = 2;
 /// Weight of one request in the moving average of the rejection rate.
 const REJECTION_RATE_WEIGHT: f64 = 0.05;
-/// Weight of one request in the moving average of the time left until the objective.
-const OBJECTIVE_WEIGHT: f64 = 0.05;
+/// Number of instances per request that an upstream runs at once from which its upstreams are shared
+/// widely: with a quarter of a request for each instance, windows of one request bound nothing.
+const WIDE_SHARING_FACTOR: u32 = 4;
 /// Least share of requests that is assumed to be served, which bounds `Retry-After`.
 const MIN_SERVED_SHARE: f64 = 0.15;
 
@@ -159,9 +160,6 @@
     shares: AdmittedShares,
     /// Share of the requests for any upstream that is admitted.
     admission: AdmissionLevel,
-    /// Moving average of the time in milliseconds that requests have left until their latency
-    /// objective when they are sent.
-    objective_left: f64,
     reachability: Reachability,
     /// Decides this instance's part of the limits that upstreams name.
     position: InstancePosition,
@@ -287,7 +285,8 @@
         }
         if req.destination == Destination::Any
             && !req.admitted
-            && !self.admission.admits(req.priority)
+            && self.is_shared_widely()
+            && !self.admission.admits(now, req.priority)
         {
             return Ok(self.reject_for_capacity(now, &req));
         }
@@ -338,9 +337,6 @@
             u.in_flight = u.in_flight.saturating_sub(1);
             u.record_completion(now, completion, load);
         }
-        if let (Completion::Responded(took_ms), Some(l)) = (completion, load) {
-            self.admission.on_response(now, l, took_ms, self.objective_left);
-        }
         match completion {
             Completion::Responded(_) | Completion::Refused | Completion::NotOwner => {
                 self.reachability.on_response(now);
@@ -391,9 +387,32 @@
         }
     }
 
-    /// Returns how the share of requests for any upstream that is admitted has changed since the last
-    /// call: the one before and the present one.
-    pub fn take_admission_change(&mut self) -> Option<(f64, f64)> {
+    /// Records the response to a request for any upstream that had `objective_ms` left until its latency
+    /// objective when it was sent.
+    pub fn on_answered(&mut self, now: Millis, load: LoadReport, took_ms: f64, objective_ms: f64) {
+        if self.is_shared_widely() {
+            self.admission.on_response(now, load, took_ms, objective_ms);
+        }
+    }
+
+    /// Returns whether so many instances share the upstreams that each may have only a small part of a
+    /// request in flight at one of them, so that its window does not bound the load.
+    fn is_shared_widely(&self) -> bool {
+        let largest = self.upstreams.values().map(|u| u.spec.concurrency).max();
+        largest.is_some_and(|n| self.position.instances > n.saturating_mul(WIDE_SHARING_FACTOR))
+    }
+
+    /// Returns whether a request for any upstream could go to another one than `id`.
+    #[must_use]
+    pub fn has_other_upstream(&self, now: Millis, tried: &[Arc<str>], id: &Arc<str>) -> bool {
+        self.upstreams.values().any(|u| {
+            !u.spec.leaving && !u.is_ejected(now) && u.spec.id != *id && !tried.contains(&u.spec.id)
+        })
+    }
+
+    /// Returns whether requests for any upstream are rejected because these are saturated, if that has
+    /// changed since the last call.
+    pub fn take_admission_change(&mut self) -> Option<bool> {
         self.admission.take_change()
     }
 
@@ -416,6 +435,12 @@
         self.upstreams.get(id).is_some_and(|u| u.heard_at.is_none_or(|at| at <= sent_at))
     }
 
+    /// Returns the share of the requests for any upstream that is admitted.
+    #[must_use]
+    pub fn admission_level(&self) -> f64 {
+        self.admission.level()
+    }
+
     /// Returns whether this instance is cut off from the upstreams.
     #[must_use]
     pub fn is_cut_off(&self) -> bool {
@@ -533,9 +558,6 @@
     /// Counts a request as in flight at an upstream and returns the decision to send it there.
     fn assign(&mut self, now: Millis, id: Arc<str>, req: &RequestSpec) -> Decision {
         self.update_rejection_rate(&req.destination, false);
-        #[expect(clippy::cast_precision_loss, reason = "short spans")]
-        let left = req.objective_at.saturating_sub(now) as f64;
-        self.objective_left += OBJECTIVE_WEIGHT * (left - self.objective_left);
         if let Some(u) = self.upstreams.get_mut(&id) {
             u.begin_request(now);
         }
@@ -731,9 +753,10 @@
                     u.expected_response_time(now, req.large_response)
                         * rand::random_range(0.97..1.03)
                 };
+                let widely = self.is_shared_widely();
                 let with_capacity = candidates.iter().filter(|u| u.can_take(now)).map(|u| {
                     let (recently_seen, same_data_center) =
-                        (u.is_recently_seen(now), u.spec.same_data_center);
+                        (!widely || u.is_recently_seen(now), u.spec.same_data_center);
                     Candidate { id: **u, recently_seen, same_data_center }
                 });
                 upstream_choice::choose(with_capacity, score).map(|u| u.spec.id.clone())
--- a/src/evacuation.rs
+++ b/src/evacuation.rs
@@ -91,7 +91,12 @@
 
     fn merge_one(&mut self, now: Millis, change: &EvacuationChange) -> bool {
         let is_age_known = change.age_ms != UNKNOWN_AGE_MS;
-        let changed_at = if is_age_known { now.saturating_sub(change.age_ms) } else { 0 };
+        let changed_at = match (is_age_known, change.in_force) {
+            (true, _) => now.saturating_sub(change.age_ms),
+            (false, true) => 0,
+            // Upstreams of a data centre that returns are cold for some time; the end may be recent.
+            (false, false) => now,
+        };
         let EvacuationChange { data_center, revision, in_force, .. } = change.clone();
         let new = Evacuation { revision, in_force, changed_at, end: None, grace_over: false };
         let Some(known) = self.known.get_mut(&data_center) else {
--- a/src/key_refusals.rs
+++ b/src/key_refusals.rs
@@ -104,11 +104,11 @@
         if self.keys.len() >= MAX_ENTRIES {
             self.keys.retain(|_, k| now < k.lost_until.max(k.first + GRANT_LOSS_MS));
         }
-        let refusal = self.keys.entry((key, fence)).or_insert(KeyRefusal {
-            first: now,
-            awaited_until: now + KEY_REFUSAL_MS,
-            lost_until: 0,
-        });
+        let new = KeyRefusal { first: now, awaited_until: now + KEY_REFUSAL_MS, lost_until: 0 };
+        let refusal = self.keys.entry((key, fence)).or_insert(new);
+        if now >= refusal.first + REPEAT_WINDOW_MS {
+            *refusal = new;
+        }
         if all_lost || has_passed(Some(refusal.first)) {
             (refusal.awaited_until, refusal.lost_until) = (now, now + GRANT_LOSS_MS);
         } else if had_grant {
--- a/src/node.rs
+++ b/src/node.rs
@@ -244,12 +244,10 @@
 
     /// Logs when this instance begins or ceases to reject requests because the upstreams are saturated.
     pub fn note_admission(&mut self, service: &str) {
-        let Some((before, level)) = self.dispatcher.take_admission_change() else {
-            return;
-        };
+        let level = self.dispatcher.admission_level();
         metrics::gauge!("mulberryspur_admission_level", "service" => service.to_owned()).set(level);
-        if before >= 1.0 || level >= 1.0 {
-            log::info!(service, before, level; "share of admitted requests changed");
+        if let Some(limited) = self.dispatcher.take_admission_change() {
+            log::info!(service, limited, level; "admission of requests changed");
         }
     }
 
--- a/src/request_handler.rs
+++ b/src/request_handler.rs
@@ -307,11 +307,7 @@
     body: &mut RequestBody,
     upstream_id: Arc<str>,
 ) -> Result<Option<Response<Body>>, LocalResponse> {
-    let in_flight = InFlightGuard {
-        node: node.clone(),
-        service: cx.service.clone(),
-        upstream: Some(upstream_id.clone()),
-    };
+    let in_flight = InFlightGuard::new(node, cx, upstream_id.clone());
     let Some(upstream) = upstream_info(node, cx, &upstream_id) else {
         // Not sent: only ends the count in flight.
         in_flight.end(Completion::Inconclusive, None);
--- a/src/request_handler/queueing.rs
+++ b/src/request_handler/queueing.rs
@@ -84,12 +84,25 @@
 /// Ends the count of an attempt in flight, which the dispatcher began with [`Decision::Send`], when
 /// the attempt ends or is dropped, as after its caller left.
 pub(super) struct InFlightGuard {
-    pub node: Rc<Node>,
-    pub service: Arc<str>,
-    pub upstream: Option<Arc<str>>,
+    node: Rc<Node>,
+    service: Arc<str>,
+    upstream: Option<Arc<str>>,
+    /// Time in milliseconds that was left until the latency objective, for requests without a key.
+    objective_ms: Option<f64>,
 }
 
 impl InFlightGuard {
+    pub fn new(node: &Rc<Node>, cx: &RequestContext, upstream: Arc<str>) -> Self {
+        #[expect(clippy::cast_precision_loss, reason = "short spans")]
+        let left_ms = (cx.arrived_at + cx.rule.objective_ms).saturating_sub(boot_millis()) as f64;
+        Self {
+            node: node.clone(),
+            service: cx.service.clone(),
+            upstream: Some(upstream),
+            objective_ms: cx.key.is_none().then_some(left_ms),
+        }
+    }
+
     pub fn end(mut self, completion: Completion, load: Option<LoadReport>) {
         self.finish(completion, load);
     }
@@ -118,6 +131,11 @@
         let now = boot_millis();
         if let Some(state) = self.node.services.borrow_mut().get_mut(&self.service) {
             state.dispatcher.on_completion(now, &upstream, completion, load);
+            if let (Completion::Responded(took_ms), Some(load), Some(objective_ms)) =
+                (completion, load, self.objective_ms)
+            {
+                state.dispatcher.on_answered(now, load, took_ms, objective_ms);
+            }
             state.note_cut(&self.service);
             state.note_admission(&self.service);
             state.poll(now);
--- a/src/request_handler/unanswered.rs
+++ b/src/request_handler/unanswered.rs
@@ -4,7 +4,7 @@
 use crate::{
     body::RequestBody,
     clock::{Millis, boot_millis},
-    dispatch::Completion,
+    dispatch::{Completion, Destination},
     forward::{self, AttemptReport},
     node::Node,
     routing_config::UpstreamInfo,
@@ -93,8 +93,15 @@
     attempt: &WaitingAttempt,
 ) -> bool {
     let mut services = node.services.borrow_mut();
+    let now = boot_millis();
     services.get_mut(&cx.service).is_some_and(|s| {
-        s.dispatcher.is_silent(&upstream.id, attempt.sent_at) && s.budget.try_spend()
+        // The owner of the key, or the only upstream, would be asked in vain.
+        let has_other = match s.destination(cx.key) {
+            Destination::Owner(id, _) => id != upstream.id,
+            Destination::Any => s.dispatcher.has_other_upstream(now, &cx.tried, &upstream.id),
+            Destination::NoOwner | Destination::OwnerLost => false,
+        };
+        has_other && s.dispatcher.is_silent(&upstream.id, attempt.sent_at) && s.budget.try_spend()
     })
 }
 
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -163,6 +163,16 @@
         && fence <= known.latest_fence()
 }
 
+/// Returns whether an entry has what an instance of an earlier version has dropped from the known one.
+fn tells_more_of_instance(known: &StateEntry, entry: &StateEntry) -> bool {
+    match (&known.value, &entry.value) {
+        (Some(EntryValue::Instance(known)), Some(EntryValue::Instance(new))) => {
+            known.cpu_cores <= 0.0 && new.cpu_cores > 0.0
+        }
+        _ => false,
+    }
+}
+
 fn is_leaving(entry: &StateEntry) -> bool {
     matches!(&entry.value, Some(EntryValue::Upstream(u)) if u.leaving)
 }
@@ -181,7 +191,9 @@
         let old = self.entries.get(&entry_key);
         if old.is_some_and(|o| {
             o.revision > entry.revision
-                || o.revision == entry.revision && (is_leaving(o) || !is_leaving(entry))
+                || o.revision == entry.revision
+                    && (is_leaving(o) || !is_leaving(entry))
+                    && !tells_more_of_instance(o, entry)
         }) {
             return false;
         }
--- a/src/silence.rs
+++ b/src/silence.rs
@@ -13,6 +13,9 @@
 const UNANSWERED_FACTOR: f64 = 4.0;
 /// Multiple of the response time that is left for another attempt.
 const RETRY_FACTOR: f64 = 2.0;
+/// Time in milliseconds for which an attempt may still wait for its connection, which shows more than
+/// silence.
+const CONNECT_TIME_MS: Millis = 300;
 /// Least time in milliseconds that is left for another attempt.
 const MIN_RETRY_MS: f64 = 150.0;
 /// Queue of an upstream that does not answer, as a multiple of its concurrency. It reports none.
@@ -41,7 +44,8 @@
     /// Returns when it is given up for another attempt; `None` if that would not end in time.
     #[must_use]
     pub fn retry_at(&self) -> Option<Millis> {
-        let at = self.unanswered_from().max(self.objective_at);
+        let connected = self.sent_at + CONNECT_TIME_MS;
+        let at = self.unanswered_from().max(self.objective_at).max(connected);
         let needed = (self.response_time_ms * RETRY_FACTOR).max(MIN_RETRY_MS);
         (at + to_millis(needed) <= self.deadline).then_some(at)
     }
--- a/src/upstream_state.rs
+++ b/src/upstream_state.rs
@@ -356,8 +356,9 @@
         let factor = f64::from(1_u32 << self.refusals_in_a_row.min(MAX_PAUSE_DOUBLINGS));
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "positive")]
         let pause_ms = (one_ends * factor).clamp(min, max) as Millis;
-        self.refusals_in_a_row += 1;
-        self.full_until = now + pause_ms;
+        // Refusals of requests that were sent together count once.
+        self.refusals_in_a_row += u32::from(now >= self.full_until);
+        self.full_until = self.full_until.max(now + pause_ms);
     }
 
     /// Adjusts the window to the load: additive increase while the upstream's queue is short,
