--- a/src/request_handler/unanswered.rs
+++ b/src/request_handler/unanswered.rs
@@ -94,10 +94,14 @@
 ) -> bool {
     let mut services = node.services.borrow_mut();
     let now = boot_millis();
+    // A stop ends no attempt at which the upstream may be at work.
+    if node.stopping_since.get().is_some() {
+        return false;
+    }
     services.get_mut(&cx.service).is_some_and(|s| {
-        // The owner of the key, or the only upstream, would be asked in vain.
+        // An owner may answer on another connection; without a key, another upstream is asked.
         let has_other = match s.destination(cx.key) {
-            Destination::Owner(id, _) => id != upstream.id,
+            Destination::Owner(..) => true,
             Destination::Any => s.dispatcher.has_other_upstream(now, &cx.tried, &upstream.id),
             Destination::NoOwner | Destination::OwnerLost => false,
         };
