Do not give a silent attempt up for another one

An attempt that had waited in its upstream's queue was given up while it ran, its retry was rejected when the instance stopped 1.9 s later. Whether a silent upstream runs the request cannot be told, so the attempt is left until its deadline; that the upstream was silent still shrinks its window and is told to the coordinator.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -402,14 +402,6 @@
         largest.is_some_and(|n| self.position.instances > n.saturating_mul(WIDE_SHARING_FACTOR))
     }
 
-    /// Returns whether a request for any upstream could go to another one than `id`.
-    #[must_use]
-    pub fn has_other_upstream(&self, now: Millis, tried: &[Arc<str>], id: &Arc<str>) -> bool {
-        self.upstreams.values().any(|u| {
-            !u.spec.leaving && !u.is_ejected(now) && u.spec.id != *id && !tried.contains(&u.spec.id)
-        })
-    }
-
     /// Returns whether requests for any upstream are rejected because these are saturated, if that has
     /// changed since the last call.
     pub fn take_admission_change(&mut self) -> Option<bool> {
--- a/src/request_handler.rs
+++ b/src/request_handler.rs
@@ -88,27 +88,13 @@
     admitted: bool,
     /// Whether an attempt is under way.
     is_sent: bool,
-    /// Time by which the response should be there; the deadline once an attempt was given up as
-    /// unanswered after it.
+    /// Time by which the response should be there.
     objective_at: Millis,
     forwarding: Forwarding,
     /// Permission to send it, if an upstream has ended under it.
     trial: Option<Trial>,
 }
 
-impl RequestContext {
-    /// Records that the attempt at an upstream was given up as unanswered. Another one may wait longer,
-    /// after requests that can still meet their objective.
-    fn on_given_up(&mut self, upstream: Arc<str>) {
-        (self.is_sent, self.may_have_run) = (false, true);
-        self.attempts += 1;
-        self.objective_at = self.deadlines.upstream;
-        if self.key.is_none() {
-            self.tried.push(upstream);
-        }
-    }
-}
-
 /// Whether a request may be forwarded to another instance.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Forwarding {
@@ -325,11 +311,6 @@
     let sent = unanswered::send(node, cx, identity.head, body, &upstream, is_repeated).await;
     let report = match sent {
         Sent::Report(report) => *report,
-        Sent::GivenUp(completion) => {
-            in_flight.end(completion, None);
-            cx.on_given_up(upstream_id);
-            return Ok(None);
-        }
         Sent::TimedOut(completion) => {
             in_flight.end(completion, None);
             return Err(LocalResponse::new(StatusCode::GATEWAY_TIMEOUT, "timeout at the upstream"));
--- a/src/request_handler/unanswered.rs
+++ b/src/request_handler/unanswered.rs
@@ -4,20 +4,18 @@
 use crate::{
     body::RequestBody,
     clock::{Millis, boot_millis},
-    dispatch::{Completion, Destination},
+    dispatch::Completion,
     forward::{self, AttemptReport},
     node::Node,
     routing_config::UpstreamInfo,
     silence::{FULL_QUEUE_FACTOR, WaitingAttempt},
 };
 use hyper::http::request::Parts;
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
 /// How an attempt has ended.
 pub(super) enum Sent {
     Report(Box<AttemptReport>),
-    /// It was given up for another one, which was taken from the retry budget.
-    GivenUp(Completion),
     /// The time of the request is over.
     TimedOut(Completion),
 }
@@ -33,21 +31,9 @@
 ) -> Sent {
     let sent_at = boot_millis();
     let waiting = waiting_attempt(node, cx, upstream, sent_at);
-    let time_to_retry = waiting.and_then(|w| Some((time_to_retry(cx, body, &w)?, w)));
     let sending = forward::send(node, head, body, upstream, cx.deadlines, is_repeated);
     let timeout = cx.deadlines.response_time(sent_at);
-    let mut sending = Box::pin(tokio::time::timeout(timeout, sending));
-    if let Some((time, waiting)) = time_to_retry {
-        match tokio::time::timeout(time, &mut sending).await {
-            Ok(Ok(report)) => return Sent::Report(Box::new(report)),
-            Err(_) if give_up(node, cx, upstream, &waiting) => {
-                return Sent::GivenUp(completion(node, cx, upstream, Some(&waiting)));
-            }
-            Ok(Err(_)) => return Sent::TimedOut(completion(node, cx, upstream, Some(&waiting))),
-            Err(_) => {}
-        }
-    }
-    match sending.await {
+    match tokio::time::timeout(timeout, sending).await {
         Ok(report) => Sent::Report(Box::new(report)),
         Err(_) => Sent::TimedOut(completion(node, cx, upstream, waiting.as_ref())),
     }
@@ -62,51 +48,7 @@
 ) -> Option<WaitingAttempt> {
     let services = node.services.borrow();
     let response_time_ms = services.get(&cx.service)?.dispatcher.response_time(&upstream.id)?;
-    Some(WaitingAttempt {
-        sent_at,
-        objective_at: cx.objective_at,
-        deadline: cx.deadlines.upstream,
-        response_time_ms,
-    })
-}
-
-/// Returns after which time an attempt may be given up for another one.
-fn time_to_retry(
-    cx: &RequestContext,
-    body: &RequestBody,
-    attempt: &WaitingAttempt,
-) -> Option<Duration> {
-    let may_retry = cx.rule.idempotent
-        && !cx.rule.large_responses
-        && cx.trial.is_none()
-        && body.bytes().is_some()
-        && cx.attempts + 1 < cx.rule.attempts;
-    let at = attempt.retry_at().filter(|_| may_retry)?;
-    Some(Duration::from_millis(at.saturating_sub(attempt.sent_at)))
-}
-
-/// Returns whether an attempt is given up now for another one, and takes that from the retry budget.
-fn give_up(
-    node: &Node,
-    cx: &RequestContext,
-    upstream: &UpstreamInfo,
-    attempt: &WaitingAttempt,
-) -> bool {
-    let mut services = node.services.borrow_mut();
-    let now = boot_millis();
-    // A stop ends no attempt at which the upstream may be at work.
-    if node.stopping_since.get().is_some() {
-        return false;
-    }
-    services.get_mut(&cx.service).is_some_and(|s| {
-        // An owner may answer on another connection; without a key, another upstream is asked.
-        let has_other = match s.destination(cx.key) {
-            Destination::Owner(..) => true,
-            Destination::Any => s.dispatcher.has_other_upstream(now, &cx.tried, &upstream.id),
-            Destination::NoOwner | Destination::OwnerLost => false,
-        };
-        has_other && s.dispatcher.is_silent(&upstream.id, attempt.sent_at) && s.budget.try_spend()
-    })
+    Some(WaitingAttempt { sent_at, response_time_ms })
 }
 
 /// Returns how an attempt without a response has ended, and counts a full queue if the upstream has said
