Pass an owner's error response on when its keys are lost

Found in the read-through: after a 5xx of an owner whose keys counted as lost, another attempt was decided on, rejected, and the owner's response replaced by a local one. Only a refused key takes that path now.

--- a/src/request_handler.rs
+++ b/src/request_handler.rs
@@ -459,8 +459,11 @@
         return false;
     };
     let destination = state.destination(cx.key);
-    if state.dispatcher.grant_state(now, cx.key, &destination) == GrantState::Lost {
-        // It is rejected where it would wait, without another attempt.
+    if completion == Completion::NotOwner
+        && state.dispatcher.grant_state(now, cx.key, &destination) == GrantState::Lost
+    {
+        // It is rejected where it would wait, without another attempt. Another completion may have a
+        // response of the upstream to pass on.
         return true;
     }
     state.budget.try_spend()
--- a/src/silence.rs
+++ b/src/silence.rs
@@ -2,8 +2,8 @@
 //!
 //! Answers the load pattern in which an upstream never answers a request that does not fit its queue, nor
 //! any later one on that connection. One request in a hundred takes three to five times the mean, and
-//! upstreams are three times slower at times, so that an attempt is given up late, and only where nothing
-//! else was heard from the upstream meanwhile.
+//! upstreams are three times slower at times, so that an attempt counts as unanswered late, and only where
+//! nothing else was heard from the upstream meanwhile.
 //!
 //! Points in time are readings of the boot clock in milliseconds.
 
