--- a/review/support-2/worker.rs
+++ b/review/support-2/worker.rs
@@ -9,7 +9,7 @@
 };
 use std::{
     io::{self, BufReader, Write},
-    net::{SocketAddr, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Condvar, Mutex},
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -58,10 +58,22 @@
     pub doubles_left: u32,
     /// Answers to calls and requests, by worker.
     pub answers: Vec<(Instant, String)>,
+    /// Body of the request that ends each worker that begins to run it.
+    pub poison: Option<Vec<u8>>,
+    /// Workers that ended under a request: when, worker, request.
+    pub ends: Vec<(Instant, String, String)>,
+    /// Requests that were at work at a worker when it ended.
+    pub lost: Vec<String>,
     /// Grants of keys on which another worker was still at work, before its hold would have run out.
     pub overlaps: Vec<String>,
 }
 
+impl Journal {
+    fn is_poison(&self, body: &[u8]) -> bool {
+        self.poison.as_ref().is_some_and(|p| p == body)
+    }
+}
+
 #[derive(Clone, Default)]
 pub struct SharedJournal(pub Arc<(Mutex<Journal>, Condvar)>);
 
@@ -71,8 +83,14 @@
     }
 }
 
+fn now_unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
 #[derive(Default)]
 struct Status {
+    /// When this life began.
+    born: u64,
     leaving: bool,
     registered: bool,
     seq: u64,
@@ -80,6 +98,9 @@
     released: usize,
     /// Rejects requests, with `Retry-After` in seconds.
     sheds: Option<u64>,
+    /// Whether the process has ended.
+    ended: bool,
+    connections: Vec<TcpStream>,
 }
 
 #[derive(Clone)]
@@ -90,7 +111,6 @@
     pub work_ms: u64,
     pub zone: String,
     pub address: SocketAddr,
-    born: u64,
     capacity: usize,
     status: Arc<Mutex<Status>>,
     journal: SharedJournal,
@@ -114,7 +134,8 @@
     ) -> Self {
         let listener = http::bind("127.0.0.1");
         let address = listener.local_addr().expect("address");
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+        drop(listener);
+        let status = Status { born: now_unix_ms(), ..Status::default() };
         let this = Self {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -122,17 +143,38 @@
             work_ms,
             zone: "a".to_owned(),
             address,
-            born,
             capacity: 6,
-            status: Arc::default(),
+            status: Arc::new(Mutex::new(status)),
             journal: journal.clone(),
             record: record.clone(),
         };
-        let worker = this.clone();
-        http::serve(listener, move |reader, writer| worker.serve(reader, writer));
+        this.listen();
         this
     }
 
+    /// Accepts connections until the process ends.
+    fn listen(&self) {
+        let listener = TcpListener::bind(self.address).expect("bind again");
+        let worker = self.clone();
+        thread::spawn(move || {
+            let life = worker.status.lock().unwrap().born;
+            for stream in listener.incoming().flatten() {
+                let status = worker.status.lock().unwrap();
+                if status.ended || status.born != life {
+                    return;
+                }
+                drop(status);
+                let _ = stream.set_nodelay(true);
+                let worker = worker.clone();
+                thread::spawn(move || {
+                    if let Ok(writer) = stream.try_clone() {
+                        let _ = worker.serve(BufReader::new(stream), writer);
+                    }
+                });
+            }
+        });
+    }
+
     /// Registers, and beats from then on.
     pub fn register(&self, store: &Store) {
         self.status.lock().unwrap().registered = true;
@@ -160,7 +202,7 @@
             "{{\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
              \"capacity\":{},\"state\":\"{state}\",\"warmup-left\":\"0ms\",\"seq\":{},\
              \"born\":{}}}",
-            self.service, self.address, self.zone, self.capacity, status.seq, self.born
+            self.service, self.address, self.zone, self.capacity, status.seq, status.born
         );
         store.write("servers", &self.id, Some(&entry));
     }
@@ -195,6 +237,34 @@
         self.status.lock().unwrap().sheds = seconds;
     }
 
+    /// Ends the process: its connections are reset or closed, and what runs there is lost.
+    pub fn end(&self) {
+        let mut status = self.status.lock().unwrap();
+        (status.registered, status.ended) = (false, true);
+        for connection in status.connections.drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+        let mut journal = self.journal.lock();
+        let lost: Vec<String> =
+            journal.running.iter().filter(|r| r.worker == self.id).map(|r| r.id.clone()).collect();
+        journal.lost.extend(lost);
+        self.record.line(format!("{} ends", self.id));
+        drop((status, journal));
+        // Wakes the thread that accepts connections, which closes the port.
+        let _ = TcpStream::connect(self.address);
+    }
+
+    /// Brings the worker back after it has ended: a new life under the same identity and address.
+    pub fn revive(&self, store: &Store) {
+        let mut status = self.status.lock().unwrap();
+        status.ended = false;
+        status.born = now_unix_ms();
+        drop(status);
+        self.listen();
+        self.record.line(format!("{} is back", self.id));
+        self.register(store);
+    }
+
     /// Stops and resumes the beats; the entry is removed as after three missed ones.
     pub fn lapse(&self, store: &Store) {
         let mut status = self.status.lock().unwrap();
@@ -205,6 +275,13 @@
 
     fn serve(&self, mut reader: BufReader<TcpStream>, mut writer: TcpStream) -> io::Result<()> {
         let mut extra: Extra = None;
+        {
+            let mut status = self.status.lock().unwrap();
+            if status.ended {
+                return Ok(());
+            }
+            status.connections.push(writer.try_clone()?);
+        }
         while let Some(req) = http::read_message(&mut reader)? {
             if let Some(bytes) = extra.take() {
                 // An extra answer that arrives late, where the next one is expected.
@@ -407,6 +484,11 @@
         };
         locked.running.push(running);
         drop(locked);
+        if self.journal.lock().is_poison(&req.body) {
+            self.journal.lock().ends.push((Instant::now(), self.id.clone(), id.to_owned()));
+            self.end();
+            return Vec::new();
+        }
         let work = req.query("work").and_then(|w| w.parse().ok()).unwrap_or(self.work_ms);
         sleep_ms(work);
         let mut locked = journal.lock().unwrap();
