--- a/review/support-2/worker.rs
+++ b/review/support-2/worker.rs
@@ -58,6 +58,10 @@
     pub doubles_left: u32,
     /// Answers to calls and requests, by worker.
     pub answers: Vec<(Instant, String)>,
+    /// The next answer of more bytes is broken off after so many.
+    pub break_off_at: Option<usize>,
+    /// Worker and request of each answer that was broken off.
+    pub broken_off: Vec<(String, String)>,
     /// Body of the request that ends each worker that begins to run it.
     pub poison: Option<Vec<u8>>,
     /// Workers that ended under a request: when, worker, request.
@@ -290,6 +294,15 @@
                 writer.write_all(&bytes)?;
             }
             let bytes = self.answer(&req);
+            if self
+                .journal
+                .lock()
+                .broken_off
+                .iter()
+                .any(|(_, id)| req.header("x-request-id") == Some(id))
+            {
+                return self.break_off(&bytes, writer);
+            }
             self.journal.lock().answers.push((Instant::now(), self.id.clone()));
             writer.write_all(&bytes)?;
             if req.path() == "/mulberryspur/release" {
@@ -306,6 +319,16 @@
         Ok(())
     }
 
+    /// Sends a part of an answer, in pieces, and closes the connection.
+    fn break_off(&self, bytes: &[u8], mut writer: TcpStream) -> io::Result<()> {
+        for piece in bytes.chunks(256 * 1024) {
+            writer.write_all(piece)?;
+            sleep_ms(40);
+        }
+        self.record.line(format!("{} breaks off its answer after {} bytes", self.id, bytes.len()));
+        writer.shutdown(Shutdown::Both)
+    }
+
     fn answer(&self, req: &Message) -> Vec<u8> {
         // All answers repeat the identity of their request, if it has one.
         let id = req.header("x-request-id").unwrap_or_default().to_owned();
@@ -499,6 +522,23 @@
         load = format!("{own},0,{}", self.capacity);
         headers.push(("X-Gateway-Signature", "3e1b.07.5a2.600.0.c9f2a4d1"));
         headers.push(("X-Server-Load", &load));
-        http::response(200, &headers, format!("{id} by {}", self.id).as_bytes())
+        let body = answer_body(id, &self.id);
+        let bytes: usize = req.query("bytes").and_then(|n| n.parse().ok()).unwrap_or(0);
+        let padding = ".".repeat(bytes.saturating_sub(body.len()));
+        let body = body + &padding;
+        let response = http::response(200, &headers, body.as_bytes());
+        let mut journal = self.journal.lock();
+        if bytes > 0 && journal.break_off_at.is_some_and(|at| at < response.len()) {
+            let at = journal.break_off_at.take().unwrap_or(0);
+            journal.broken_off.push((self.id.clone(), id.to_owned()));
+            return response[..at].to_vec();
+        }
+        drop(journal);
+        response
     }
 }
+
+/// Returns the whole body of a worker's answer to a request.
+pub fn answer_body(id: &str, worker: &str) -> String {
+    format!("order {id} was carried out by {worker}, 12 sheets of paper are on their way")
+}
