--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -79,14 +79,21 @@
     }
     sleep_ms(1_000);
     let leaving = &workers[2];
-    if has_trouble() {
+    let is_planned = std::env::var_os("ROLL").is_some();
+    if has_trouble() && is_planned {
+        // Planned work only: the machine is stopped and started.
+        machines[0].signal("TERM");
+        while machines[0].is_running() {
+            sleep_ms(5);
+        }
+    } else if has_trouble() {
         machines[0].kill();
+        sleep_ms(RESTART_MS / 4);
     }
-    sleep_ms(50);
     leaving.remove(&store);
     let acknowledged = Instant::now();
-    sleep_ms(RESTART_MS - 50);
     if has_trouble() {
+        sleep_ms(if is_planned { 0 } else { RESTART_MS * 3 / 4 });
         machines[0].start();
     }
     // Longer than `drain`, and than `stability` after the start.
