Tell removed entries to instances that may have missed them

Cause: a digest has one revision for two promises, to hold what was there at it and to know what was removed before it. An instance that has read the table at R gives the first only; its dependents took the reply "all up to R" for both, raised their digests past the removal, and asked neither the relay nor the store for it again.

Change: a reply to a digest that lies before the sender's own reading has a listing, the keys of all entries; what it lacks is removed. An entry that another instance tells, and that was removed by what this one knows, is not taken over: random steps found this second way in. Beside a build without listings, an instance follows the upstreams' table itself, and a relay sends dependents of such a build to the store instead of letting them count as complete.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -22,10 +22,12 @@
 mod frame;
 mod link;
 mod owners;
+mod removals;
 
 pub(crate) use self::{
     broadcast::{broadcast, broadcast_owners, resend_undelivered},
     evacuations::{broadcast_evacuations, change_evacuations, tells_of_evacuations},
+    removals::learns_of_removals,
 };
 
 use self::{
@@ -45,7 +47,7 @@
     node::Node,
     overload::OwnerShare,
     owner_delta::{OwnersChange, PushPace},
-    shared_state::{Digest, EntryKind, EntryValue, PeerInfo, StateEntry},
+    shared_state::{Digest, EntryKind, EntryValue, Listing, PeerInfo, StateEntry},
     suspects::Notice,
     traffic::TrafficReport,
 };
@@ -106,7 +108,14 @@
     },
     /// Entries that the receiver lacks, from a sender that is complete up to `digest`.
     #[serde(rename = "News")]
-    Delta { digest: Digest, entries: Vec<StateEntry> },
+    /// `listings` name all entries of the kinds of which the receiver may hold removed ones; `None` if the
+    /// sender does not tell.
+    Delta {
+        digest: Digest,
+        entries: Vec<StateEntry>,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        listings: Option<Vec<Listing>>,
+    },
     /// Entries that have just changed.
     Push { entries: Vec<StateEntry> },
     /// Keys that are about to be released.
@@ -129,8 +138,11 @@
     /// The sender, which is larger than the service's coordinator and reaches the store, offers to
     /// take its lease over.
     LeaseOffer { service: Arc<str> },
-    /// The first message of both instances after the greeting: the sender understands the following
-    /// kinds. Instances of earlier versions skip all of these.
+    /// The first message of both instances after the greeting: the sender understands listings in
+    /// [`Message::Delta`], and sends them. Instances of earlier versions skip this.
+    TakesListings,
+    /// Follows it: the sender understands the following kinds. Instances of earlier versions skip all of
+    /// these.
     TakesOwnerChanges,
     /// Owners that have just changed, or reply to a digest.
     OwnersChanged(OwnersChange),
@@ -153,6 +165,7 @@
             Self::Suspects { .. } => "suspects",
             Self::Traffic { .. } => "traffic",
             Self::CoordinatorStatus { .. } => "coordinator_status",
+            Self::TakesListings => "takes_listings",
             Self::TakesOwnerChanges => "takes_owner_changes",
             Self::OwnersChanged(_) => "owners_changed",
             Self::OwnersDigest { .. } => "owners_digest",
@@ -193,6 +206,8 @@
     told_healthy: Cell<bool>,
     /// Instances that have announced on the open link that they understand changes of owners.
     change_takers: RefCell<HashSet<Arc<str>>>,
+    /// Instances that have announced that they send and understand listings.
+    listing_takers: RefCell<HashSet<Arc<str>>>,
     /// When the owners of each service were pushed to the dependents.
     owner_paces: RefCell<HashMap<Arc<str>, PushPace>>,
     /// When this instance last asked for owners after a change that did not apply.
@@ -447,14 +462,20 @@
     let same_data_center = || is_in_same_data_center(node, name);
     // The instance may have been replaced by one of an earlier version.
     node.gossip_links.set_takes_changes(name, false);
-    if let Some(frame) = Frame::new(&Message::TakesOwnerChanges) {
-        write_frame(&mut link, peer, &frame, same_data_center()).await?;
+    for announcement in [Message::TakesListings, Message::TakesOwnerChanges] {
+        if let Some(frame) = Frame::new(&announcement) {
+            write_frame(&mut link, peer, &frame, same_data_center()).await?;
+        }
     }
+    let mut is_first = true;
     loop {
         let replies = tokio::select! {
             message = read_message(&mut link, peer, &mut skipped, on_confirmed) => match message? {
                 Some(message) => {
                     node.gossip_links.deliveries.borrow_mut().on_heard(name);
+                    if std::mem::take(&mut is_first) {
+                        node.gossip_links.on_first_message(name, &message);
+                    }
                     handle_message(node, name, message)
                 }
                 None => return Ok(()),
@@ -481,7 +502,7 @@
 /// Handles a message of the instance `from` and returns the replies.
 fn handle_message(node: &Rc<Node>, from: &Arc<str>, message: Message) -> Vec<Message> {
     match message {
-        Message::Hello { .. } => Vec::new(),
+        Message::Hello { .. } | Message::TakesListings => Vec::new(),
         Message::Digest(theirs) => reply_to_digest(node, from, &theirs, None, false),
         Message::OwnersDigest { digest, owners, is_reply } => {
             reply_to_digest(node, from, &digest, Some(&owners), is_reply)
@@ -505,17 +526,18 @@
             }
             Vec::new()
         }
-        Message::Delta { digest, entries } => {
-            log::debug!(entries = entries.len(); "entries from another instance");
+        Message::Delta { digest, entries, listings } => {
+            let listing_count = listings.as_ref().map(Vec::len);
+            log::debug!(entries = entries.len(), listing_count; "entries from another instance");
             node.update_shared_state(|shared_state, now| {
-                shared_state.merge_from_peer(now, &digest, entries)
+                shared_state.merge_from_peer(now, &digest, entries, listings.as_deref())
             });
             Vec::new()
         }
         Message::Push { entries } => {
             let mut changed = false;
             node.update_shared_state(|shared_state, now| {
-                changed = shared_state.merge(now, entries.iter().cloned());
+                changed = shared_state.merge_from_sender(now, entries.iter().cloned());
                 changed
             });
             // The dependents have got the changes.
@@ -578,7 +600,8 @@
     is_reply: bool,
 ) -> Vec<Message> {
     let shared_state = node.shared_state.borrow();
-    let missing = owners::missing_entries(&shared_state, theirs, owners);
+    let takes_listings = node.gossip_links.takes_listings(from);
+    let missing = removals::missing_entries(&shared_state, theirs, owners, takes_listings);
     let is_behind = shared_state.digest().iter().zip(theirs).any(|(mine, theirs)| mine < theirs);
     // Requests what this instance lacks, even if those revisions may have changed no entry. Two that
     // each lack such revisions would go on requesting them from each other.
@@ -587,7 +610,10 @@
     let lacks_rows = theirs[EntryKind::RoutingConfig as usize] < known;
     // Before the entries: an instance that gets its first configuration with them is ready.
     let evacuations = evacuations::news(node, lacks_rows);
-    let status = store_status(node);
+    let mut status = store_status(node);
+    if let Message::StoreStatus { healthy, .. } = &mut status {
+        *healthy &= !removals::needs_store(node, from, theirs);
+    }
     let notices = node.suspects.borrow_mut().next_notices(boot_millis());
     let suspects = (!notices.is_empty()).then_some(Message::Suspects { notices, relayed: true });
     let replies = evacuations.into_iter().chain(missing).chain(request);
--- a/src/gossip/owners.rs
+++ b/src/gossip/owners.rs
@@ -7,8 +7,8 @@
     keymap::KeyMap,
     node::Node,
     owner_delta::{MANY_DEPENDENTS, OwnersChange, PushDecision},
-    owner_sync::{MissingState, ReceivedChange, receive_change},
-    shared_state::{Digest, EntryKind, EntryValue, PeerInfo, SharedState, StateEntry},
+    owner_sync::{ReceivedChange, receive_change},
+    shared_state::{EntryKind, EntryValue, PeerInfo, StateEntry},
 };
 use std::{rc::Rc, sync::Arc, time::Duration};
 
@@ -50,18 +50,6 @@
     Message::OwnersDigest { digest, owners: shared_state.owner_revisions(), is_reply }
 }
 
-/// Returns the messages with what an instance with this digest lacks.
-pub(super) fn missing_entries(
-    shared_state: &SharedState,
-    theirs: &Digest,
-    owners: Option<&OwnerRevisions>,
-) -> Vec<Message> {
-    let missing = MissingState::new(shared_state, theirs, owners.map(Vec::as_slice));
-    let changes = missing.changes.into_iter().map(Message::OwnersChanged);
-    let delta = missing.delta.map(|(digest, entries)| Message::Delta { digest, entries });
-    changes.chain(delta).collect()
-}
-
 /// Handles changed owners and returns the replies: a digest if the change does not apply.
 pub(super) fn on_owners_changed(
     node: &Rc<Node>,
--- a/src/node.rs
+++ b/src/node.rs
@@ -550,6 +550,12 @@
         gossip::relay(self).is_none_or(|name| gossip::tells_of_evacuations(self, &name))
     }
 
+    /// Returns whether the relay, if there is one, tells of removed entries; earlier versions do not.
+    #[must_use]
+    pub fn learns_of_removals(&self) -> bool {
+        gossip::learns_of_removals(self)
+    }
+
     /// Records that an incarnation of an upstream has said in a response that it leaves.
     pub(crate) fn on_upstream_leaving(self: &Rc<Self>, id: &Arc<str>, started: u64) {
         self.update_shared_state(|shared_state, _| shared_state.mark_leaving(id, started));
--- a/src/owner_sync.rs
+++ b/src/owner_sync.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     owner_delta::OwnersChange,
-    shared_state::{Digest, EntryKind, EntryValue, SharedState, StateEntry},
+    shared_state::{Digest, EntryKind, EntryValue, Listing, SharedState, StateEntry},
 };
 use std::sync::Arc;
 
@@ -18,6 +18,8 @@
     /// All other entries, and the revisions up to which the instance is complete with them; `None`
     /// if it lacks only revisions that changed no entry.
     pub delta: Option<(Digest, Vec<StateEntry>)>,
+    /// All keys of the kinds of which it may hold entries that were removed.
+    pub listings: Vec<Listing>,
 }
 
 impl MissingState {
@@ -30,7 +32,8 @@
         owners: Option<&[(Arc<str>, u64)]>,
     ) -> Self {
         let (mut digest, mut entries) = (shared_state.digest(), shared_state.newer_than(theirs));
-        if entries.is_empty() {
+        let listings = shared_state.listings_for(theirs);
+        if entries.is_empty() && listings.is_empty() {
             return Self::default();
         }
         let mut changes: Vec<OwnersChange> = Vec::new();
@@ -55,7 +58,20 @@
         }
         let is_ahead = digest.iter().zip(theirs).any(|(mine, theirs)| mine > theirs);
         let delta = (!entries.is_empty() || is_ahead).then_some((digest, entries));
-        Self { changes, delta }
+        Self { changes, delta, listings }
+    }
+
+    /// Leaves the listings out, for an instance of an earlier version with the digest `theirs`: it must
+    /// not count as complete where it may hold entries that were removed.
+    #[must_use]
+    pub fn without_listings(mut self, theirs: &Digest) -> Self {
+        for Listing { kind, .. } in std::mem::take(&mut self.listings) {
+            let index = kind as usize;
+            if let Some((digest, _)) = &mut self.delta {
+                digest[index] = digest[index].min(theirs[index]);
+            }
+        }
+        self
     }
 }
 
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -14,10 +14,16 @@
 //! [`crate::revision`]. What is missing in the copy counts as lapsed, upstreams that are known to
 //! have left stay so, and the configuration and the owners of keys stay until later ones come.
 //!
+//! What instances tell each other of entries that were removed: [`Listing`].
+//!
 //! Upstreams of a data centre under evacuation are listed as leaving; their entries stay as they are.
 //!
 //! `serde(rename)` keeps the names that instances of other versions send and expect.
 
+mod sync;
+
+pub use sync::{Listing, REMOVABLE_KINDS};
+
 use crate::{
     clock::Millis,
     collections::{HashMap, HashSet},
@@ -123,6 +129,8 @@
     /// Entries that changed and have not been passed on to other instances.
     unpublished: Vec<StateEntry>,
     digest: Digest,
+    /// Revisions from which on removed entries are known, by kind.
+    removals_from: Digest,
     /// Upstreams whose entries have lapsed, and until when they are kept.
     lapsed: HashMap<Arc<str>, (Arc<UpstreamInfo>, Millis)>,
     /// The same upstreams, until [`Self::take_new_lapses`].
@@ -334,16 +342,10 @@
         revision: u64,
         entries: Vec<StateEntry>,
     ) -> bool {
-        let present_keys: Vec<Arc<str>> = entries.iter().map(|e| e.key.clone()).collect();
-        let deleted: Vec<StateEntry> = self
-            .entries
-            .values()
-            .filter(|e| e.kind == kind && e.value.is_some() && e.revision <= revision)
-            .filter(|e| !present_keys.contains(&e.key))
-            .map(|e| StateEntry { revision, value: None, ..e.clone() })
-            .collect();
-        let changed = self.merge(now, entries) | self.merge(now, deleted);
-        self.mark_complete(kind, revision);
+        let present_keys = entries.iter().map(|e| e.key.clone()).collect();
+        let changed =
+            self.merge(now, entries) | self.remove_missing(now, kind, revision, &present_keys);
+        self.mark_listed(kind, revision);
         changed
     }
 
@@ -359,28 +361,6 @@
         self.digest
     }
 
-    /// Returns the entries that an instance with `digest` lacks.
-    #[must_use]
-    pub fn newer_than(&self, digest: &Digest) -> Vec<StateEntry> {
-        let is_missing = |e: &&StateEntry| e.revision > digest[digest_index(e.kind)];
-        self.entries.values().filter(is_missing).cloned().collect()
-    }
-
-    /// Merges the entries that another instance, complete up to `digest`, sent in reply to this
-    /// instance's own digest; returns whether anything changed.
-    pub fn merge_from_peer(
-        &mut self,
-        now: Millis,
-        digest: &Digest,
-        entries: Vec<StateEntry>,
-    ) -> bool {
-        let changed = self.merge(now, entries);
-        for kind in KINDS {
-            self.mark_complete(kind, digest[digest_index(kind)]);
-        }
-        changed
-    }
-
     /// Returns the configuration in force.
     #[must_use]
     pub fn routing_config(&self) -> Option<&Arc<RoutingConfig>> {
--- a/tests/owner_delta.rs
+++ b/tests/owner_delta.rs
@@ -159,7 +159,7 @@
     let missing = MissingState::new(sender, &receiver.digest(), Some(&owners));
     missing.changes.iter().for_each(|c| receive(receiver, c));
     if let Some((digest, entries)) = &missing.delta {
-        receiver.merge_from_peer(0, digest, entries.clone());
+        receiver.merge_from_peer(0, digest, entries.clone(), Some(&missing.listings));
     }
     missing
 }
@@ -230,7 +230,7 @@
     let missing = MissingState::new(&sender, &receiver.digest(), Some(&known));
     assert_eq!(missing.changes.len(), 1);
     let (digest, entries) = missing.delta.expect("delta");
-    receiver.merge_from_peer(0, &digest, entries);
+    receiver.merge_from_peer(0, &digest, entries, Some(&missing.listings));
     assert_eq!(receiver.digest()[EntryKind::Owners as usize], 1);
     assert_eq!(receiver.digest()[EntryKind::Upstream as usize], 9);
     // To an instance that tells no revisions of owners, the whole row goes.
@@ -411,7 +411,7 @@
                 sent.dependent += encoded_len(&Message::Digest(digest));
                 let missing = MissingState::new(&relay, &digest, None);
                 if let Some((digest, _)) = &missing.delta {
-                    dependent.merge_from_peer(0, digest, Vec::new());
+                    dependent.merge_from_peer(0, digest, Vec::new(), Some(&missing.listings));
                 }
                 missing
             } else {
--- a/tests/shared_state.rs
+++ b/tests/shared_state.rs
@@ -155,7 +155,7 @@
     other.mark_complete(EntryKind::Upstream, 1);
     let delta = state.newer_than(&other.digest());
     assert_eq!(delta.len(), 2);
-    other.merge_from_peer(0, &state.digest(), delta);
+    other.merge_from_peer(0, &state.digest(), delta, Some(&state.listings_for(&other.digest())));
     assert_eq!(other.digest(), state.digest());
     assert!(state.newer_than(&other.digest()).is_empty());
 }
