End evacuations that a message no longer names

Callers saw every order rejected at the dependents of a relay that was killed and started again while the operator ended an evacuation: these instances kept the data centre evacuated for as long as they ran.

A relay that has just read the operators' rows knows of no evacuation there; its message says "complete up to R" and names none, and the receiver marked itself complete without ending what was not named.

Change: a message on evacuations is taken for what it is, the list of all that are in force at its revision. One that is not in force here, although all changes up to a later revision are known, has ended, and a late message does not bring it back.

--- a/src/evacuation.rs
+++ b/src/evacuation.rs
@@ -146,6 +146,23 @@
         changed || merged
     }
 
+    /// Takes over what another instance knows, which names all evacuations in force at `complete_up_to`,
+    /// or none if that is 0; returns whether anything has changed.
+    ///
+    /// The sender may be behind: an evacuation that is not in force here, although all changes up to a
+    /// later revision are known, has ended.
+    pub fn merge_from_peer(
+        &mut self,
+        now: Millis,
+        complete_up_to: u64,
+        mut changes: Vec<EvacuationChange>,
+    ) -> bool {
+        changes.retain(|c| {
+            !c.in_force || c.revision > self.complete_up_to || self.is_evacuated(&c.data_center)
+        });
+        self.replace(now, complete_up_to, changes)
+    }
+
     /// Records that all changes up to `revision` are known.
     pub fn mark_complete(&mut self, revision: u64) {
         self.complete_up_to = self.complete_up_to.max(revision);
--- a/src/gossip/evacuations.rs
+++ b/src/gossip/evacuations.rs
@@ -92,8 +92,7 @@
 ) -> Option<Message> {
     node.gossip_links.evacuation_senders.borrow_mut().insert(from.clone(), Millis::MAX);
     let is_news = change_evacuations(node, |evacuations, now| {
-        evacuations.mark_complete(complete_up_to);
-        evacuations.merge(now, changes)
+        evacuations.merge_from_peer(now, complete_up_to, changes)
     });
     if is_news {
         pass_on(node, from, message(node, false), true);
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -55,6 +55,39 @@
     assert!(!known.is_owner_grace(10_000 + OWNER_GRACE_MS, "a"));
 }
 
+/// The end of an evacuation was missed for good if the instance that told of all changes had started
+/// after it, and so knew nothing of that data centre.
+#[test]
+fn end_is_missed_while_the_sender_starts() {
+    let mut sender = Evacuations::default();
+    sender.replace(0, 9, Vec::new());
+    let mut known = Evacuations::default();
+    known.replace(0, 4, Vec::new());
+    known.merge(100, [change("a", 5, true)]);
+    assert!(known.merge_from_peer(900, sender.complete_up_to(), sender.changes(900)));
+    assert_eq!((known.since("a"), known.ended_at("a")), (None, Some(900)));
+    // A message of before, or from an instance that has heard nothing since, does not bring it back.
+    assert!(!known.merge_from_peer(1_000, 6, vec![change("a", 5, true)]));
+    assert!(!known.merge_from_peer(1_000, 8, vec![change("a", 8, true)]));
+    assert!(known.merge_from_peer(1_100, 12, vec![change("a", 11, true)]));
+    assert!(known.is_evacuated("a"));
+}
+
+/// An instance that does not know all changes ends no evacuation, and neither does an older message.
+#[test]
+fn evacuation_ends_by_a_message_that_is_not_complete() {
+    let mut known = Evacuations::default();
+    known.replace(0, 5, vec![change("a", 5, true)]);
+    assert!(!known.merge_from_peer(100, 0, Vec::new()));
+    assert!(!known.merge_from_peer(100, 4, Vec::new()));
+    assert!(known.is_evacuated("a"));
+    // The store was restored from a copy that lacks the row, which the operator writes again.
+    assert!(!known.merge_from_peer(200, rev(1, 3), Vec::new()));
+    assert!(known.is_evacuated("a"));
+    assert!(known.expire(200 + RESTORED_GRACE_MS));
+    assert!(!known.is_evacuated("a"));
+}
+
 /// An instance that learned of the change from another one gave the owners two seconds of its own.
 #[test]
 fn change_from_another_instance_loses_its_age() {
