Deal credits for requests to cold owners of keys

Cause: nobody counted. Each instance sent a request with the probability of the share that the coordinator had announced, and at most one a second. The sum was random, and where the requests for an owner had just risen, by a move of ranges, a hot key or a burst, the share was out of date for up to a second and the sum bounded only by the number of instances.

Change: the service's coordinator deals a credit for each request to a cold owner. An instance asks while the request waits, and rejects at once what is refused or not answered in 250 ms. Instances that do not hear the coordinator use tokens of half the rate; beside a coordinator of an earlier build, shares as before. Upstreams without keys keep their tokens.

Why it works: what is dealt is counted in one place, whatever the demand and whoever asks, and a credit lapses after 400 ms.

The tests of shares that were there go on under names that say so.

--- a/src/coordinator_task.rs
+++ b/src/coordinator_task.rs
@@ -5,15 +5,19 @@
 //! coordinator or that one has gone silent. While its lease is valid, it commits owners and sends
 //! grants and releases; otherwise it reports traffic to the coordinator.
 
+mod dealing;
 mod giving_back;
 mod planning;
 mod store_calls;
 
+pub(crate) use dealing::{ask_for_credits, deals_credits, on_credit_answer, on_credit_request};
+
 use crate::{
     adapter::{ChangeOutcome, Row, RowName},
     clock::{Millis, boot_millis},
     collections::HashMap,
     coordinator::{Coordinator, GrantOrder, GrantTimes, OrderId, OrderOutcome, ReleaseOrder},
+    credits::CreditDealer,
     error::Result,
     gossip::{self, Message},
     keymap::{KeyMap, KeyRange, Owner},
@@ -31,7 +35,7 @@
 };
 use futures::future::LocalBoxFuture;
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -127,6 +131,8 @@
     acting: Rc<Cell<bool>>,
     /// Whether its last renewal of the lease failed.
     renewal_failed: Rc<Cell<bool>>,
+    /// Deals credits for requests to cold owners while this instance acts.
+    dealer: RefCell<CreditDealer>,
 }
 
 /// How many grants have been answered.
@@ -249,6 +255,7 @@
         last_heard: last_heard.clone(),
         acting: acting.clone(),
         renewal_failed: renewal_failed.clone(),
+        dealer: RefCell::default(),
     };
     coordinators.insert(service.clone(), handle);
     let task = CoordinatorTask {
@@ -310,10 +317,18 @@
     handle.acting.get() && !handle.renewal_failed.get()
 }
 
-/// Notes whether another instance acts as the service's coordinator; returns whether it is news that
-/// it does not.
-pub(crate) fn on_coordinator_status(node: &Node, service: &str, acting: bool) -> bool {
+/// Notes whether another instance acts as the service's coordinator, and whether it deals credits;
+/// returns whether it is news that it does not act.
+pub(crate) fn on_coordinator_status(
+    node: &Node,
+    service: &str,
+    acting: bool,
+    deals_credits: bool,
+) -> bool {
     let mut has_ended = false;
+    if let Some(state) = node.services.borrow_mut().get_mut(service) {
+        state.dispatcher.on_dealer_status(boot_millis(), acting, deals_credits);
+    }
     if let Some(handle) = node.coordinators.borrow().get(service) {
         let now = boot_millis();
         has_ended = !acting && now < handle.last_heard.get() + SILENCE_LIMIT_MS;
@@ -458,10 +473,16 @@
             log::info!(service, acting, outage = self.outage; "authority over keys changed");
             self.acting_since = now;
             self.handover = LeaseHandover::default();
+            if let Some(handle) = self.node.coordinators.borrow().get(&self.service) {
+                handle.dealer.borrow_mut().reset();
+            }
         }
         self.grant_counts.log(now, &self.service);
         if acting {
             self.last_heard.set(now);
+            if let Some(state) = self.node.services.borrow_mut().get_mut(&self.service) {
+                state.dispatcher.on_dealer_status(now, true, true);
+            }
             self.coordinate(now);
             self.hand_over_if_due(now);
         }
--- a/src/coordinator_task/giving_back.rs
+++ b/src/coordinator_task/giving_back.rs
@@ -105,8 +105,9 @@
             self.next_call_at = now + RETRY_DELAY_MS;
         }
         // Others read the row, which shows who holds the lease.
-        let (service, acting) = (self.service.clone(), false);
-        gossip::broadcast(&self.node, &Message::CoordinatorStatus { service, acting });
+        let (service, acting, deals_credits) = (self.service.clone(), false, false);
+        let status = Message::CoordinatorStatus { service, acting, deals_credits };
+        gossip::broadcast(&self.node, &status);
     }
 
     /// Notes the offer of an instance to take the lease over.
--- a/src/coordinator_task/store_calls.rs
+++ b/src/coordinator_task/store_calls.rs
@@ -172,8 +172,9 @@
     fn tell_renewal_failed(&self) {
         if self.acting.get() && !self.renewal_failed.replace(true) {
             log::info!(service = &*self.service; "the lease could not be renewed, others are told");
-            let (service, acting) = (self.service.clone(), false);
-            gossip::broadcast(&self.node, &Message::CoordinatorStatus { service, acting });
+            let (service, acting, deals_credits) = (self.service.clone(), false, true);
+            let status = Message::CoordinatorStatus { service, acting, deals_credits };
+            gossip::broadcast(&self.node, &status);
         }
     }
 
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -8,10 +8,13 @@
 //!
 //! Points in time are readings of the boot clock in milliseconds.
 
+mod cold_owners;
+
 use crate::{
     admission_level::AdmissionLevel,
     clock::Millis,
     collections::HashMap,
+    credits::{CreditBook, DealerWatch},
     key_refusals::{GrantState, KeyRefusals},
     keymap::Key,
     other_paths::OtherPaths,
@@ -161,6 +164,11 @@
     /// Share of the requests for any upstream that is admitted.
     admission: AdmissionLevel,
     reachability: Reachability,
+    /// Credits for requests to cold owners.
+    credits: CreditBook,
+    dealer: DealerWatch,
+    /// Whether the upstreams own keys, so that requests to cold ones need credits.
+    is_keyed: bool,
     /// Decides this instance's part of the limits that upstreams name.
     position: InstancePosition,
     /// Whether there was any request.
@@ -229,6 +237,7 @@
             });
             pace.update(now, limits, until, &self.position);
         }
+        self.update_admission(now);
     }
 
     /// Takes over what a response says about the limit of upstream `id`; returns whether that
@@ -522,6 +531,9 @@
                 None => self.waiting.push(w),
             }
         }
+        self.credits.expire(now);
+        self.update_admission(now);
+        decisions.extend(self.reject_without_credit(now));
         for w in late {
             let decision = match self.choose_upstream(now, &w.req) {
                 Some(id) => self.assign(now, id, &w.req),
@@ -551,6 +563,9 @@
     fn assign(&mut self, now: Millis, id: Arc<str>, req: &RequestSpec) -> Decision {
         self.update_rejection_rate(&req.destination, false);
         if let Some(u) = self.upstreams.get_mut(&id) {
+            if u.cold.is_some_and(|c| c.needs_credit(now)) {
+                self.credits.take(now, &id);
+            }
             u.begin_request(now);
         }
         Decision::Send(id)
@@ -573,7 +588,8 @@
                     _ => served,
                 };
                 let wait = self.expected_wait(now, req, self.requests_ahead(now, req));
-                wait / served.max(MIN_SERVED_SHARE)
+                let wait = wait.max(self.refused_wait(now, req)) / served.max(MIN_SERVED_SHARE);
+                wait.min(self.credits_end(now, req))
             }
             Rejection::NoOwner if req.destination == Destination::OwnerLost => {
                 OWNER_LOST_RETRY_AFTER_MS
@@ -661,7 +677,8 @@
     fn is_rate_limited(&self, now: Millis, req: &RequestSpec) -> bool {
         match &req.destination {
             Destination::Owner(id, _) => {
-                self.upstreams.get(id).is_some_and(|u| u.is_rate_limited(now))
+                let owner = self.upstreams.get(id);
+                owner.is_some_and(|u| u.is_rate_limited(now) || self.lacks_credit(now, u))
             }
             Destination::Any => self.untried(req).all(|u| u.is_rate_limited(now)),
             Destination::NoOwner | Destination::OwnerLost => false,
@@ -724,7 +741,7 @@
             Destination::Owner(id, _) => {
                 let u = self.upstreams.get(id)?;
                 let available = !u.spec.leaving && !u.is_ejected(now) && u.can_take(now);
-                let available = available && now >= u.full_until;
+                let available = available && now >= u.full_until && !self.lacks_credit(now, u);
                 let available = available && !self.is_key_refused(now, req);
                 available.then(|| id.clone())
             }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -40,6 +40,7 @@
     clock::{Millis, boot_millis},
     collections::{HashMap, HashSet},
     coordinator_task,
+    credits::{CreditAnswer, CreditRequest},
     delivery::Deliveries,
     error::Result,
     evacuation::EvacuationChange,
@@ -134,7 +135,17 @@
     Traffic { service: Arc<str>, report: Option<TrafficReport> },
     /// Reply to [`Message::Traffic`]: whether the sender acts as the service's coordinator.
     #[serde(rename = "Acting")]
-    CoordinatorStatus { service: Arc<str>, acting: bool },
+    /// It deals credits if `deals_credits`, also while it cannot renew its lease; earlier versions do not.
+    CoordinatorStatus {
+        service: Arc<str>,
+        acting: bool,
+        #[serde(default)]
+        deals_credits: bool,
+    },
+    /// Credits for requests to cold owners, asked of a coordinator that deals them.
+    CreditRequest(CreditRequest),
+    /// Its answer.
+    CreditAnswer(CreditAnswer),
     /// The sender, which is larger than the service's coordinator and reaches the store, offers to
     /// take its lease over.
     LeaseOffer { service: Arc<str> },
@@ -165,6 +176,8 @@
             Self::Suspects { .. } => "suspects",
             Self::Traffic { .. } => "traffic",
             Self::CoordinatorStatus { .. } => "coordinator_status",
+            Self::CreditRequest(_) => "credit_request",
+            Self::CreditAnswer(_) => "credit_answer",
             Self::TakesListings => "takes_listings",
             Self::TakesOwnerChanges => "takes_owner_changes",
             Self::OwnersChanged(_) => "owners_changed",
@@ -573,14 +586,24 @@
         }
         Message::Traffic { service, report } => {
             let acting = coordinator_task::on_traffic_report(node, &service, report);
-            vec![Message::CoordinatorStatus { service, acting }]
+            let deals_credits = coordinator_task::deals_credits(node, &service);
+            vec![Message::CoordinatorStatus { service, acting, deals_credits }]
+        }
+        Message::CreditRequest(request) => {
+            vec![Message::CreditAnswer(coordinator_task::on_credit_request(node, &request))]
+        }
+        Message::CreditAnswer(answer) => {
+            coordinator_task::on_credit_answer(node, &answer);
+            Vec::new()
         }
-        Message::CoordinatorStatus { service, acting } => {
-            let has_ended = coordinator_task::on_coordinator_status(node, &service, acting);
+        Message::CoordinatorStatus { service, acting, deals_credits } => {
+            let has_ended =
+                coordinator_task::on_coordinator_status(node, &service, acting, deals_credits);
             let is_coordinator = node.shared_state.borrow().coordinator(&service) == Some(from);
             if has_ended && is_coordinator {
                 // The others of the data centre would learn it with their next reports.
-                pass_on(node, from, Message::CoordinatorStatus { service, acting }, false);
+                let status = Message::CoordinatorStatus { service, acting, deals_credits };
+                pass_on(node, from, status, false);
             }
             Vec::new()
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -106,6 +106,7 @@
 pub mod controller;
 pub mod coordinator;
 pub mod coordinator_task;
+pub mod credits;
 pub mod daemon;
 pub mod delivery;
 pub mod dev;
--- a/src/node.rs
+++ b/src/node.rs
@@ -461,6 +461,7 @@
             self.refresh_services();
             return;
         }
+        let mut waiting = Vec::new();
         for (service, state) in self.services.borrow_mut().iter_mut() {
             state.cold.log_changes(now, service);
             if !state.paused.is_empty() && state.remove_ended_pauses(now) {
@@ -468,8 +469,12 @@
             }
             if state.dispatcher.request_counts().1 > 0 {
                 state.poll(now);
+                waiting.push(service.clone());
             }
         }
+        for service in &waiting {
+            coordinator_task::ask_for_credits(self, service);
+        }
     }
 
     /// Ends the suspicion that a request ends upstreams, on all instances, by its logged fingerprint.
@@ -706,6 +711,7 @@
             });
             let specs: Vec<UpstreamSpec> = specs.collect();
             state.dispatcher.set_position(position);
+            state.dispatcher.set_keyed(spec.keyed);
             state.dispatcher.set_upstreams(now, specs);
             let (overshoot, slack) = (self.cfg.warmup_overshoot, self.cfg.warmup_slack);
             let listing = Listing {
--- a/src/request_handler/queueing.rs
+++ b/src/request_handler/queueing.rs
@@ -4,6 +4,7 @@
 use crate::{
     body::StreamEnd,
     clock::boot_millis,
+    coordinator_task,
     dispatch::{Completion, Decision, LoadReport, Rejection, RequestSpec, Ticket},
     node::{Node, ServiceState},
 };
@@ -35,6 +36,9 @@
             }
         }
     };
+    if cx.key.is_some() {
+        coordinator_task::ask_for_credits(node, &cx.service);
+    }
     let decision = (&mut request.rx).await;
     request.ticket = None;
     decision.unwrap_or(no_service)
--- a/src/upstream_state.rs
+++ b/src/upstream_state.rs
@@ -246,6 +246,13 @@
         f64::from(self.in_flight) + 1.0 <= self.window.max(MIN_WINDOW) + 0.5
     }
 
+    /// Returns how many more requests may be in flight.
+    pub fn free_places(&self) -> u32 {
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "positive")]
+        let places = (self.window.max(MIN_WINDOW) + 0.5) as u32;
+        places.saturating_sub(self.in_flight)
+    }
+
     pub fn is_ejected(&self, now: Millis) -> bool {
         now < self.ejected_until
     }
--- a/src/warmup.rs
+++ b/src/warmup.rs
@@ -9,14 +9,16 @@
 //! [`RateLimit`] with a burst of its own: tokens that come to the instances in turn, by a common
 //! clock. Where each of many instances sees a request for a cold owner of keys only every few
 //! seconds, most of these tokens would lapse. There, the service's coordinator, which knows the
-//! requests of all instances, announces a share of them (see [`crate::overload`]), and each instance
-//! sends a request with that probability.
+//! requests of all instances, deals them credits (see [`crate::credits`]). One of an earlier version only
+//! announces a share of the requests (see [`crate::overload`]), and each instance sends a request with that
+//! probability.
 //!
 //! Points in time are readings of the boot clock in milliseconds.
 
 use crate::{
     clock::Millis,
     collections::HashMap,
+    credits::ColdAdmission,
     overload::SHARES_VALIDITY_MS,
     rate_limit::{InstancePosition, RateLimit},
     revision,
@@ -44,6 +46,15 @@
 const SPACING_FACTOR: f64 = 8.0;
 /// Longest time in milliseconds between two such requests.
 const MAX_SPACING_MS: f64 = 1_000.0;
+/// Factor on the announced share for the probability with which credits are asked for: enough requests are
+/// left to use all credits where the share is somewhat too small, and fewer messages are sent.
+const ASKED_SHARE_FACTOR: f64 = 2.0;
+/// Share of the permitted rate and burst that instances use which do not hear the coordinator.
+const RESERVE_SHARE: f64 = 0.5;
+/// Time in milliseconds after which callers may come back that got no credit.
+const REFUSED_WAIT_MS: f64 = 1_000.0;
+/// Time in milliseconds for which a request usually waits for a credit.
+const CREDIT_WAIT_MS: f64 = 20.0;
 /// Time in milliseconds for which upstreams that are no longer listed are remembered, so that one
 /// whose entry lapses and is restored does not count as new.
 const MEMORY_MS: Millis = 60_000;
@@ -77,6 +88,13 @@
         let left = self.max_in_second - self.per_second * (1.0 + TIME_UNCERTAINTY_S) - 1.0;
         (left * BURST_SHARE).max(MIN_BURST)
     }
+
+    /// Returns the part of the limits for the tokens of instances that do not hear the coordinator.
+    fn reserve(self) -> Self {
+        let (per_second, max) =
+            (self.per_second * RESERVE_SHARE, self.max_in_second * RESERVE_SHARE);
+        Self { per_second, max_in_second: max, ..self }
+    }
 }
 
 /// Returns the share of `rate` requests per second that is announced for a cold owner that tolerates
@@ -92,6 +110,7 @@
 pub struct ColdPace {
     limits: ColdLimits,
     until: Millis,
+    admission: ColdAdmission,
     tokens: RateLimit,
     position: InstancePosition,
     /// Announced share of the requests, and until when it is in force.
@@ -109,7 +128,31 @@
         position: &InstancePosition,
     ) -> Self {
         let tokens = RateLimit::new(now, limits.per_second, position).with_burst(limits.burst());
-        Self { limits, until, tokens, position: *position, share: None, sent_at: None }
+        let admission = ColdAdmission::default();
+        Self { limits, until, admission, tokens, position: *position, share: None, sent_at: None }
+    }
+
+    /// Sets how requests are admitted.
+    pub fn set_admission(&mut self, now: Millis, admission: ColdAdmission) {
+        if self.admission != admission {
+            self.admission = admission;
+            self.restart_tokens(now);
+        }
+    }
+
+    fn restart_tokens(&mut self, now: Millis) {
+        let limits = match self.admission {
+            ColdAdmission::Reserve => self.limits.reserve(),
+            ColdAdmission::Tokens | ColdAdmission::Credits => self.limits,
+        };
+        let tokens = RateLimit::new(now, limits.per_second, &self.position);
+        self.tokens = tokens.with_burst(limits.burst());
+    }
+
+    /// Returns whether a request needs a credit of the coordinator at `now`.
+    #[must_use]
+    pub fn needs_credit(&self, now: Millis) -> bool {
+        self.is_cold(now) && self.admission == ColdAdmission::Credits
     }
 
     /// Takes over changed limits, time and position.
@@ -125,11 +168,10 @@
         let is_same = self.limits == limits
             && self.position.instances == position.instances
             && self.position.rank == position.rank;
-        if is_same {
-            self.until = until;
-        } else {
-            let (share, sent_at) = (self.share, self.sent_at);
-            *self = Self { share, sent_at, ..Self::new(now, limits, until, position) };
+        self.until = until;
+        if !is_same {
+            (self.limits, self.position) = (limits, *position);
+            self.restart_tokens(now);
         }
     }
 
@@ -144,9 +186,17 @@
         self.share = share.map(|s| (s, now + SHARES_VALIDITY_MS));
     }
 
+    fn announced_share(&self, now: Millis) -> Option<f64> {
+        let (share, _) = self.share.filter(|(share, until)| now < *until && *share > 0.0)?;
+        Some(share)
+    }
+
     /// Returns the announced share, if requests are sent by it and not by tokens.
     fn share_in_force(&self, now: Millis) -> Option<f64> {
-        let (share, _) = self.share.filter(|(share, until)| now < *until && *share > 0.0)?;
+        if self.admission != ColdAdmission::Tokens {
+            return None;
+        }
+        let share = self.announced_share(now)?;
         let rate = self.limits.per_second * ANNOUNCED_SHARE / share;
         let per_instance = rate / f64::from(self.position.instances.max(1));
         let held_s = self.limits.burst() / self.limits.per_second;
@@ -157,7 +207,25 @@
     /// `draw` is random between 0 and 1.
     #[must_use]
     pub fn admits_new(&self, now: Millis, draw: f64) -> bool {
-        !self.is_cold(now) || self.share_in_force(now).is_none_or(|share| draw < share)
+        let share = if self.needs_credit(now) {
+            self.announced_share(now).map(|share| share * ASKED_SHARE_FACTOR)
+        } else {
+            self.share_in_force(now)
+        };
+        !self.is_cold(now) || share.is_none_or(|share| draw < share)
+    }
+
+    /// Returns the time in milliseconds after which a request may be admitted that got no credit.
+    #[must_use]
+    pub fn refused_wait_ms(&self, now: Millis) -> f64 {
+        self.cold_ms(now).min(REFUSED_WAIT_MS)
+    }
+
+    /// Returns the time in milliseconds until the upstream is warm.
+    pub(crate) fn cold_ms(&self, now: Millis) -> f64 {
+        #[expect(clippy::cast_precision_loss, reason = "short spans")]
+        let cold_ms = self.until.saturating_sub(now) as f64;
+        cold_ms
     }
 
     /// Returns the time in milliseconds between two requests that are sent by the announced share.
@@ -167,10 +235,10 @@
         spacing.min(MAX_SPACING_MS)
     }
 
-    /// Returns whether a request may be sent now.
+    /// Returns whether a request may be sent now, if it needs no credit.
     #[must_use]
     pub fn admits(&self, now: Millis) -> bool {
-        if !self.is_cold(now) {
+        if !self.is_cold(now) || self.needs_credit(now) {
             return true;
         }
         if self.share_in_force(now).is_none() {
@@ -181,7 +249,7 @@
 
     /// Counts a request that is sent.
     pub fn take(&mut self, now: Millis) {
-        if self.tokens.admits(now) {
+        if !self.needs_credit(now) && self.tokens.admits(now) {
             self.tokens.take(now);
         }
         self.sent_at = Some(now);
@@ -190,9 +258,9 @@
     /// Returns the time in milliseconds until the last of `count` requests may be sent.
     #[must_use]
     pub fn wait_ms(&self, now: Millis, count: f64) -> f64 {
-        #[expect(clippy::cast_precision_loss, reason = "short spans")]
-        let cold_ms = self.until.saturating_sub(now) as f64;
-        let wait = if self.share_in_force(now).is_some() {
+        let wait = if self.needs_credit(now) {
+            CREDIT_WAIT_MS
+        } else if self.share_in_force(now).is_some() {
             let spacing = self.spacing_ms();
             #[expect(clippy::cast_precision_loss, reason = "short spans")]
             let since = self.sent_at.map_or(spacing, |at| now.saturating_sub(at) as f64);
@@ -200,7 +268,7 @@
         } else {
             self.tokens.wait_ms(now, count)
         };
-        wait.min(cold_ms)
+        wait.min(self.cold_ms(now))
     }
 
     /// Returns this instance's rate in requests per millisecond.
--- a/tests/warmup.rs
+++ b/tests/warmup.rs
@@ -2,6 +2,7 @@
 //! and have different clocks: the real paces, traffic statistics and shares, in virtual time.
 
 use mulberryspur::{
+    credits::{ColdAdmission, CreditAnswer, CreditBook, CreditDealer, CreditRequest, DealerWatch},
     dispatch::{
         Completion, Decision, Destination, Dispatcher, Rejection, RequestSpec, UpstreamSpec,
     },
@@ -14,7 +15,10 @@
     warmup::{ColdLimits, ColdPace, ColdUpstreams, Listing},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use std::{collections::VecDeque, sync::Arc};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
 
 const PER_SECOND: f64 = 4.0;
 const WARMUP_MS: u64 = 3_000;
@@ -30,6 +34,8 @@
 const REPORT_INTERVAL_MS: u64 = 500;
 const PLAN_INTERVAL_MS: u64 = 250;
 const ANNOUNCE_MS: u64 = 40;
+/// Time for a message between an instance and the coordinator.
+const MAX_MESSAGE_MS: u64 = 40;
 /// Time for which a request may wait.
 const WAIT_MS: u64 = 400;
 const POLL_INTERVAL_MS: u64 = 20;
@@ -52,6 +58,20 @@
     u32::try_from(n).expect("few")
 }
 
+/// The coordinator of the service, if its upstreams own keys.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Coordinator {
+    None,
+    /// One that announces shares.
+    EarlierVersion,
+    /// One that deals credits, too.
+    Dealing,
+    /// The same, which is silent for 4 of every 10 seconds, and forgets its credits then.
+    Lost,
+    /// The same, which half of the instances do not reach for 4 of every 10 seconds.
+    CutOff,
+}
+
 /// Requests for cold upstreams of one data centre.
 #[derive(Debug, Clone, Copy)]
 struct Scenario {
@@ -62,8 +82,7 @@
     rate: f64,
     /// Steps of one millisecond.
     steps: u64,
-    /// Whether a coordinator announces shares.
-    keyed: bool,
+    coordinator: Coordinator,
     /// Whether instances join, leave and freeze.
     changes: bool,
     paced: bool,
@@ -71,6 +90,14 @@
     burst: f64,
 }
 
+/// A message between an instance, by name, and the coordinator.
+#[derive(Debug)]
+enum Mail {
+    Request(usize, CreditRequest),
+    Answer(usize, CreditAnswer),
+    Status(usize),
+}
+
 #[derive(Debug)]
 struct Instance {
     name: usize,
@@ -82,6 +109,8 @@
     /// Requests that wait: until when, and for which upstream.
     waiting: Vec<(u64, usize)>,
     counter: TrafficCounter,
+    book: CreditBook,
+    watch: DealerWatch,
 }
 
 struct Replay {
@@ -96,6 +125,11 @@
     owners: KeyMap,
     infos: Vec<Arc<UpstreamInfo>>,
     announcements: VecDeque<(u64, Vec<OwnerShare>)>,
+    dealer: CreditDealer,
+    /// Messages by the time of their arrival and a number.
+    mail: BTreeMap<(u64, u64), Mail>,
+    next_mail: u64,
+    messages: u64,
 }
 
 fn id(n: usize) -> Arc<str> {
@@ -136,6 +170,10 @@
             },
             infos: (0..s.upstreams).map(|n| info(n, WARMUP_MS)).collect(),
             announcements: VecDeque::new(),
+            dealer: CreditDealer::default(),
+            mail: BTreeMap::new(),
+            next_mail: 0,
+            messages: 0,
         };
         this.traffic.set_cold_rates((0..s.upstreams).map(|n| (id(n), PER_SECOND)).collect());
         for _ in 0..s.instances {
@@ -160,6 +198,8 @@
             frozen_until: 0,
             waiting: Vec::new(),
             counter: TrafficCounter::default(),
+            book: CreditBook::default(),
+            watch: DealerWatch::default(),
         });
         let n = self.instances.len() - 1;
         self.learn(now, n);
@@ -209,14 +249,23 @@
     }
 
     fn coordinate(&mut self, now: u64) {
+        let mut reporting = Vec::new();
         for (n, i) in self.instances.iter_mut().enumerate() {
-            if (now + 37 * n as u64).is_multiple_of(REPORT_INTERVAL_MS)
-                && now >= i.frozen_until
-                && let Some(report) = i.counter.take(&"s".into())
-            {
-                self.traffic.add_report(&report);
+            if (now + 37 * n as u64).is_multiple_of(REPORT_INTERVAL_MS) && now >= i.frozen_until {
+                if let Some(report) = i.counter.take(&"s".into()) {
+                    self.traffic.add_report(&report);
+                }
+                reporting.push(i.name);
             }
         }
+        for name in reporting {
+            if self.s.coordinator == Coordinator::EarlierVersion {
+                self.instance(name).expect("reporting").watch.on_status(now, true, false);
+            } else if self.is_reached(now, name) {
+                self.post(now, Mail::Status(name));
+            }
+        }
+        self.deliver(now);
         if now.is_multiple_of(PLAN_INTERVAL_MS) {
             self.traffic.decay(now);
             let shares = self.monitor.update(now, &self.owners, &self.infos, &self.traffic);
@@ -233,6 +282,79 @@
         }
     }
 
+    fn instance(&mut self, name: usize) -> Option<&mut Instance> {
+        self.instances.iter_mut().find(|i| i.name == name)
+    }
+
+    /// Returns whether messages between an instance and the coordinator arrive.
+    fn is_reached(&self, now: u64, name: usize) -> bool {
+        let in_trouble = now % 10_000 >= 5_000 && now % 10_000 < 9_000;
+        match self.s.coordinator {
+            Coordinator::Dealing => true,
+            Coordinator::Lost => !in_trouble,
+            Coordinator::CutOff => !in_trouble || name.is_multiple_of(2),
+            Coordinator::None | Coordinator::EarlierVersion => false,
+        }
+    }
+
+    fn post(&mut self, now: u64, mail: Mail) {
+        let at = now + self.rng.random_range(1..=MAX_MESSAGE_MS);
+        self.mail.insert((at, self.next_mail), mail);
+        self.next_mail += 1;
+        self.messages += 1;
+    }
+
+    /// Delivers the messages that are due; an instance that is frozen handles them later.
+    fn deliver(&mut self, now: u64) {
+        if self.s.coordinator == Coordinator::Lost && now % 10_000 == 5_000 {
+            self.dealer.reset();
+        }
+        while let Some(entry) = self.mail.first_entry().filter(|e| e.key().0 <= now) {
+            match entry.remove() {
+                Mail::Request(name, request) if self.is_reached(now, name) => {
+                    let deal = |(owner, asked): &(Arc<str>, u32)| {
+                        self.dealer.deal(now, owner, PER_SECOND, *asked)
+                    };
+                    let granted = request.owners.iter().map(deal).collect();
+                    let CreditRequest { service, id, .. } = request;
+                    let answer = CreditAnswer { service, id, acting: true, granted };
+                    self.post(now, Mail::Answer(name, answer));
+                }
+                Mail::Request(..) => {}
+                mail @ (Mail::Answer(name, _) | Mail::Status(name)) => {
+                    let Some(i) = self.instance(name) else { continue };
+                    if now < i.frozen_until {
+                        let at = i.frozen_until;
+                        self.mail.insert((at, self.next_mail), mail);
+                        self.next_mail += 1;
+                        continue;
+                    }
+                    i.watch.on_status(now, true, true);
+                    if let Mail::Answer(_, answer) = mail {
+                        i.book.on_answer(now, &answer);
+                        let n = self.instances.iter().position(|i| i.name == name);
+                        self.poll(now, n.expect("an instance"));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Asks for the credits that an instance needs.
+    fn ask(&mut self, now: u64, n: usize) {
+        let i = &mut self.instances[n];
+        let mut waiting: BTreeMap<usize, u32> = BTreeMap::new();
+        for (_, upstream) in i.waiting.iter().filter(|(_, u)| i.paces[*u].needs_credit(now)) {
+            *waiting.entry(*upstream).or_default() += 1;
+        }
+        let waiting = waiting.into_iter().map(|(upstream, count)| (id(upstream), count));
+        let request = i.book.request(now, &"s".into(), waiting);
+        let name = i.name;
+        if let Some(request) = request.filter(|_| self.is_reached(now, name)) {
+            self.post(now, Mail::Request(name, request));
+        }
+    }
+
     /// Returns the arrivals at each upstream in steps from the start, in order.
     fn run(mut self) -> Vec<Vec<u64>> {
         let s = self.s;
@@ -242,7 +364,7 @@
             if s.changes {
                 self.change_instances(now);
             }
-            if s.keyed {
+            if s.coordinator != Coordinator::None {
                 self.coordinate(now);
             }
             if now.is_multiple_of(POLL_INTERVAL_MS) {
@@ -257,6 +379,7 @@
         for list in &mut self.arrivals {
             list.sort_unstable();
         }
+        println!("{s:?}: {} messages for credits a second", self.messages * 1_000 / s.steps);
         self.arrivals
     }
 
@@ -274,15 +397,23 @@
         if self.s.paced && !pace.admits_new(now, draw) {
             return;
         }
-        if self.s.paced && !pace.admits(now) {
+        let lacks_credit = pace.needs_credit(now) && !i.book.has_credit(now, &id(upstream));
+        if self.s.paced && (lacks_credit || !pace.admits(now)) {
             i.waiting.push((now + WAIT_MS, upstream));
+            if frozen_ms == 0 {
+                self.ask(now, n);
+            }
             return;
         }
         self.send(now, n, upstream, frozen_ms);
     }
 
     fn send(&mut self, now: u64, instance: usize, upstream: usize, frozen_ms: u64) {
-        self.instances[instance].paces[upstream].take(now);
+        let i = &mut self.instances[instance];
+        if i.paces[upstream].needs_credit(now) {
+            i.book.take(now, &id(upstream));
+        }
+        i.paces[upstream].take(now);
         let transit = self.rng.random_range(0..=MAX_TRANSIT_MS);
         self.arrivals[upstream].push(now + frozen_ms + transit - START);
     }
@@ -292,13 +423,26 @@
         if now < self.instances[n].frozen_until {
             return;
         }
-        for (until, upstream) in std::mem::take(&mut self.instances[n].waiting) {
-            if self.instances[n].paces[upstream].admits(now) {
+        let i = &mut self.instances[n];
+        if self.s.coordinator != Coordinator::None {
+            let admission = i.watch.admission(now);
+            i.paces.iter_mut().for_each(|pace| pace.set_admission(now, admission));
+        }
+        i.book.expire(now);
+        let mut refused = i.book.take_refused();
+        for (until, upstream) in std::mem::take(&mut i.waiting) {
+            let i = &self.instances[n];
+            let pace = &i.paces[upstream];
+            let lacks_credit = pace.needs_credit(now) && !i.book.has_credit(now, &id(upstream));
+            if !lacks_credit && pace.admits(now) {
                 self.send(now, n, upstream, 0);
+            } else if let Some(count) = refused.get_mut(&id(upstream)).filter(|c| **c > 0) {
+                *count -= 1;
             } else if now < until {
                 self.instances[n].waiting.push((until, upstream));
             }
         }
+        self.ask(now, n);
     }
 }
 
@@ -329,7 +473,7 @@
 
 macro_rules! pace_tests {
     ($($name:ident: $seed:expr, $instances:expr, $upstreams:expr, $rate:expr, $steps:expr,
-        $keyed:expr;)*) => {$(
+        $coordinator:expr;)*) => {$(
         #[test]
         fn $name() {
             check(Scenario {
@@ -338,7 +482,7 @@
                 upstreams: $upstreams,
                 rate: $rate,
                 steps: $steps,
-                keyed: $keyed,
+                coordinator: $coordinator,
                 changes: true,
                 paced: true,
                 burst: 1.0,
@@ -348,15 +492,19 @@
 }
 
 pace_tests! {
-    unkeyed_through_12_instances: 1, 12, 1, 200.0, 200_000, false;
-    unkeyed_through_85_instances: 2, 85, 1, 400.0, 200_000, false;
-    unkeyed_through_300_instances: 3, 300, 1, 1_000.0, 100_000, false;
-    data_center_through_12_instances: 4, 12, 24, 60.0, 50_000, false;
-    data_center_through_85_instances: 5, 85, 24, 400.0, 50_000, false;
-    owner_through_12_instances: 6, 12, 1, 10.0, 100_000, true;
-    owner_through_85_instances: 7, 85, 1, 10.0, 100_000, true;
-    owner_through_300_instances: 8, 300, 1, 10.0, 50_000, true;
-    hot_owner_through_85_instances: 9, 85, 1, 300.0, 50_000, true;
+    unkeyed_through_12_instances: 1, 12, 1, 200.0, 200_000, Coordinator::None;
+    unkeyed_through_85_instances: 2, 85, 1, 400.0, 200_000, Coordinator::None;
+    unkeyed_through_300_instances: 3, 300, 1, 1_000.0, 100_000, Coordinator::None;
+    data_center_through_12_instances: 4, 12, 24, 60.0, 50_000, Coordinator::None;
+    data_center_through_85_instances: 5, 85, 24, 400.0, 50_000, Coordinator::None;
+    owner_of_an_earlier_coordinator_through_12_instances: 6, 12, 1, 10.0, 100_000, Coordinator::EarlierVersion;
+    owner_of_an_earlier_coordinator_through_85_instances: 7, 85, 1, 10.0, 100_000, Coordinator::EarlierVersion;
+    owner_of_an_earlier_coordinator_through_300_instances: 8, 300, 1, 10.0, 50_000, Coordinator::EarlierVersion;
+    hot_owner_of_an_earlier_coordinator_through_85_instances: 9, 85, 1, 300.0, 50_000, Coordinator::EarlierVersion;
+    owner_through_12_instances: 6, 12, 1, 10.0, 100_000, Coordinator::Dealing;
+    owner_through_85_instances: 7, 85, 1, 10.0, 100_000, Coordinator::Dealing;
+    owner_through_300_instances: 8, 300, 1, 10.0, 50_000, Coordinator::Dealing;
+    hot_owner_through_85_instances: 9, 85, 1, 300.0, 50_000, Coordinator::Dealing;
 }
 
 /// Without the pace, the same demand exceeds the bound at once.
@@ -369,7 +517,7 @@
             upstreams: 1,
             rate: 40.0,
             steps: 10_000,
-            keyed: false,
+            coordinator: Coordinator::None,
             changes: true,
             paced: false,
             burst: 1.0,
@@ -379,52 +527,67 @@
     }
 }
 
-/// Guards against more requests in one second than a cold owner tolerates, over 10,000 seconds of one
-/// cold owner. Shares bound a random number of requests, so the bound may be exceeded.
-#[test]
+/// 100 owners of keys, cold all the while, with ten requests a second each through 85 instances.
+const COLD_OWNERS: Scenario = Scenario {
+    seed: 10,
+    instances: 85,
+    upstreams: 100,
+    rate: 10.0,
+    steps: 100_000,
+    coordinator: Coordinator::Dealing,
+    changes: true,
+    paced: true,
+    burst: 1.0,
+};
+
+/// Asserts that no owner gets more requests in one second than it tolerates, and that `used` of the
+/// permitted rate is used.
 #[expect(clippy::cast_precision_loss, reason = "small numbers")]
-fn requests_for_cold_owners_keep_the_bound() {
-    let s = Scenario {
-        seed: 10,
-        instances: 85,
-        upstreams: 100,
-        rate: 10.0,
-        steps: 100_000,
-        keyed: true,
-        changes: true,
-        paced: true,
-        burst: 1.0,
-    };
+fn check_owners(s: Scenario, used: f64) {
     let arrivals = Replay::new(s).run();
     let most: Vec<usize> = arrivals.iter().map(|a| most_in_second(a)).collect();
     let exceeded = most.iter().filter(|n| **n > BOUND).count();
     let sent: usize = arrivals.iter().map(Vec::len).sum();
-    let used = sent as f64 / (PER_SECOND * 10_000.0);
-    println!("exceeded at {exceeded} owners, most {:?}, used {used:.3}", most.iter().max());
-    assert!(used >= 0.8, "{used:.3} of the permitted rate is used");
+    let permitted = PER_SECOND * s.steps as f64 / 1_000.0 * s.upstreams as f64;
+    let actual = sent as f64 / permitted;
+    println!("exceeded at {exceeded} owners, most {:?}, used {actual:.3}", most.iter().max());
+    assert!(actual >= used, "{actual:.3} of the permitted rate is used");
     assert_eq!(exceeded, 0, "{most:?}");
 }
 
-/// Guards against the same in a burst of all traffic, which the coordinator does not know at once, so
-/// that the share is too large for a moment.
-#[test]
-fn burst_for_cold_owners_keeps_the_bound() {
-    let s = Scenario {
-        seed: 11,
-        instances: 85,
-        upstreams: 100,
-        rate: 10.0,
-        steps: 50_000,
-        keyed: true,
-        changes: true,
-        paced: true,
-        burst: 2.6,
-    };
-    let arrivals = Replay::new(s).run();
-    let most: Vec<usize> = arrivals.iter().map(|a| most_in_second(a)).collect();
-    let exceeded = most.iter().filter(|n| **n > BOUND).count();
-    println!("bursts: exceeded at {exceeded} owners, most {:?}", most.iter().max());
-    assert_eq!(exceeded, 0, "{most:?}");
+macro_rules! cold_owner_tests {
+    ($($(#[$doc:meta])* $name:ident: $scenario:expr, $used:expr;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            check_owners($scenario, $used);
+        }
+    )*};
+}
+
+cold_owner_tests! {
+    /// Guards against more requests in one second than a cold owner tolerates, over 10,000 seconds of one
+    /// cold owner.
+    requests_for_cold_owners_keep_the_bound: COLD_OWNERS, 0.8;
+    /// Guards against the same in a burst of all traffic, which shares of the requests follow too late.
+    burst_for_cold_owners_keeps_the_bound:
+        Scenario { seed: 11, steps: 50_000, burst: 2.6, ..COLD_OWNERS }, 0.8;
+    /// Guards against the same for owners that have no requests until ranges move to them.
+    moves_to_cold_owners_keep_the_bound:
+        Scenario { seed: 12, steps: 50_000, rate: 0.5, burst: 60.0, ..COLD_OWNERS }, 0.0;
+    /// Guards against the same at 300 instances.
+    cold_owners_of_300_instances_keep_the_bound:
+        Scenario { seed: 13, instances: 300, steps: 20_000, burst: 2.6, ..COLD_OWNERS }, 0.8;
+    /// Guards against the same while the coordinator is lost again and again.
+    lost_coordinator_keeps_the_bound:
+        Scenario { seed: 14, steps: 50_000, coordinator: Coordinator::Lost, burst: 2.6, ..COLD_OWNERS },
+        0.4;
+    /// Guards against the same while half of the instances do not reach the coordinator.
+    coordinator_that_some_do_not_reach_keeps_the_bound:
+        Scenario {
+            seed: 15, steps: 50_000, coordinator: Coordinator::CutOff, burst: 2.6, ..COLD_OWNERS
+        },
+        0.7;
 }
 
 fn listing(complete: bool) -> Listing {
@@ -593,3 +756,95 @@
         panic!("{decision:?}");
     };
 }
+
+/// Returns a keyed dispatcher with a cold owner and a coordinator that deals credits, and the ticket of a
+/// request for that owner.
+fn waiting_for_credit() -> (Dispatcher, u64) {
+    let mut d = Dispatcher::default();
+    d.set_keyed(true);
+    d.set_position(InstancePosition { instances: 300, rank: 7, clock_offset_ms: 0 });
+    let spec = UpstreamSpec {
+        id: id(0),
+        started: 1,
+        concurrency: 3,
+        same_data_center: true,
+        leaving: false,
+        max_connections: 5,
+    };
+    d.set_upstreams(START, [spec]);
+    d.set_cold(START, &listed(&[(info(0, WARMUP_MS), 1)]));
+    d.on_dealer_status(START, true, true);
+    let ticket = d.submit(START, request(START, Destination::Owner(id(0), 1)));
+    (d, ticket.expect_err("waits for a credit"))
+}
+
+fn answer(request: &CreditRequest, acting: bool, granted: Vec<u32>) -> CreditAnswer {
+    CreditAnswer { service: request.service.clone(), id: request.id, acting, granted }
+}
+
+fn assert_rejected(d: &mut Dispatcher, now: u64, ticket: u64) {
+    let decisions = d.poll(now);
+    let [(t, Decision::Reject { reason: Rejection::UpstreamLimit, retry_after })] = decisions[..]
+    else {
+        panic!("{decisions:?}");
+    };
+    assert_eq!(t, ticket);
+    // Half as long again at most as until the owner is warm.
+    let cold_ms = START + WARMUP_MS - now;
+    assert!((150..=cold_ms * 3 / 2).contains(&retry_after), "{retry_after}");
+}
+
+/// Guards against requests for a cold owner that are sent although the coordinator has not counted them.
+#[test]
+fn request_for_a_cold_owner_is_sent_without_a_credit() {
+    let (mut d, ticket) = waiting_for_credit();
+    assert_eq!(d.poll(START + 1), []);
+    let asked = d.credit_request(START + 1, &"s".into()).expect("asked");
+    assert_eq!(asked.owners, [(id(0), 1)]);
+    assert_eq!(d.credit_request(START + 2, &"s".into()), None, "asked twice");
+    d.on_credit_answer(START + 10, &answer(&asked, true, vec![1]));
+    assert_eq!(d.poll(START + 10), [(ticket, Decision::Send(id(0)))]);
+    // The credit is used: the next request needs another one.
+    d.on_completion(START + 20, &id(0), Completion::Responded(10.0), None);
+    assert!(d.submit(START + 20, request(START + 20, Destination::Owner(id(0), 1))).is_err());
+}
+
+/// Guards against callers that wait until their objective has passed although there is no credit.
+#[test]
+fn request_for_a_cold_owner_waits_after_a_refusal() {
+    let (mut d, ticket) = waiting_for_credit();
+    let asked = d.credit_request(START, &"s".into()).expect("asked");
+    d.on_credit_answer(START + 10, &answer(&asked, true, vec![0]));
+    assert_rejected(&mut d, START + 10, ticket);
+}
+
+/// Guards against requests that wait for a coordinator that is gone, and against a credit that is used
+/// long after it was counted.
+#[test]
+fn request_for_a_cold_owner_waits_for_a_lost_coordinator() {
+    let (mut d, ticket) = waiting_for_credit();
+    let asked = d.credit_request(START, &"s".into()).expect("asked");
+    assert_eq!(d.poll(START + 249), []);
+    assert_rejected(&mut d, START + 250, ticket);
+    d.on_credit_answer(START + 260, &answer(&asked, true, vec![1]));
+    let ticket = d.submit(START + 270, request(START + 270, Destination::Owner(id(0), 1)));
+    assert!(ticket.is_err(), "late credit is used");
+}
+
+/// An instance that has just started, or does not hear the coordinator, uses tokens of half the rate, as
+/// others may get credits.
+#[test]
+fn instance_without_the_coordinator_uses_all_tokens() {
+    let mut watch = DealerWatch::default();
+    assert_eq!(watch.admission(START), ColdAdmission::Reserve);
+    watch.on_status(START, true, true);
+    assert_eq!(watch.admission(START + 2_000), ColdAdmission::Credits);
+    assert_eq!(watch.admission(START + 2_200), ColdAdmission::Reserve);
+    // One that cannot renew its lease still deals.
+    watch.on_status(START, false, true);
+    assert_eq!(watch.admission(START), ColdAdmission::Credits);
+    watch.on_status(START, true, false);
+    assert_eq!(watch.admission(START + 60_000), ColdAdmission::Tokens);
+    watch.on_status(START, false, false);
+    assert_eq!(watch.admission(START), ColdAdmission::Reserve);
+}
