KNOWN-RED: releases that meet another upstream free no keys

From 21.75 s on, some 430 releases a second are answered by another upstream at the owner's address, and sent again a second later. 470 ranges have no owner until 29.5 s, when every grant of the former coordinator must have expired; 3,100 to 3,500 requests in two seconds are rejected for it.

--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -927,3 +927,29 @@
     }
     assert_eq!(moved(&sim), sim.upstreams[1].owner.id);
 }
+
+/// Guards against keys that stay without an owner for 10 s after a takeover although their owner has
+/// ended: its orders met another upstream at its address, and were only sent again.
+#[test]
+fn order_that_met_another_upstream_frees_no_keys() {
+    let mut sim = Simulation::new(InjectedBug::None);
+    sim.apply(&Step::Wait(100));
+    sim.apply(&Step::Takeover);
+    let to = sim.upstreams[1].owner.clone();
+    let range = KeyRange::new(0, 99);
+    let change = Reassignment { range, to: to.clone(), owner_lost: true };
+    sim.coordinator.reassign(sim.now, &change);
+    let c = &mut sim.coordinator;
+    for now in (sim.now..sim.now + 1_000).step_by(20) {
+        for order in c.due_grants(now, false) {
+            c.on_grant_outcome(now, order.id, &OrderOutcome::OtherUpstream);
+        }
+        for order in c.due_releases(now) {
+            c.on_release_outcome(now, order.id, &OrderOutcome::OtherUpstream);
+        }
+        if let Some(map) = c.next_commit(now) {
+            c.on_committed(map, c.revision() + 1);
+        }
+    }
+    assert_eq!(c.owners().find(KEYS[0]).map(|s| s.owner.clone()), Some(to));
+}
