--- a/src/credits.rs
+++ b/src/credits.rs
@@ -62,8 +62,7 @@
 
 impl CreditDealer {
     /// Returns how many of `asked` credits for an owner are granted, which tolerates `per_second`
-    /// requests. An owner that nobody has asked for lately has none left over, as another coordinator
-    /// may have dealt them.
+    /// requests. It begins with one credit, as another coordinator may have dealt more just before.
     pub fn deal(&mut self, now: Millis, owner: &Arc<str>, per_second: f64, asked: u32) -> u32 {
         self.owners.retain(|_, (_, at)| now < *at + DEALER_MEMORY_MS);
         let (credits, updated_at) = self.owners.entry(owner.clone()).or_insert((1.0, now));
@@ -86,7 +85,7 @@
 /// How an instance admits requests for cold owners.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum ColdAdmission {
-    /// By tokens, or the announced share: there is no coordinator, or one of an earlier version.
+    /// By tokens, or the announced share: the service has no keys, or a coordinator of an earlier version.
     #[default]
     Tokens,
     /// By credits of the coordinator.
--- a/src/gossip/removals.rs
+++ b/src/gossip/removals.rs
@@ -1,6 +1,8 @@
-//! Which instances tell of removed entries, see [`Listing`](crate::shared_state::Listing). Those of
-//! earlier versions do not: an instance of this version whose relay is one of them follows the upstreams'
-//! table itself, and gets no relay that may miss removals from one of this version.
+//! Which instances tell of removed entries, see [`Listing`](crate::shared_state::Listing).
+//!
+//! Those of earlier versions do not. An instance of this version whose relay is one of them follows the
+//! upstreams' table itself. One of an earlier version that may lack removals which this instance does not
+//! know either is told that this one is no relay, and then reads the store.
 
 use super::{GossipLinks, Message, OwnerRevisions, relay};
 use crate::{
